--- /dev/null
+++ b/agent/src/main/java/org/wigeonferry/agent/Admission.java
@@ -0,0 +1,107 @@
+package org.wigeonferry.agent;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.core_types.UpstreamId;
+import org.wigeonferry.decisions.AdmissionRules;
+import org.wigeonferry.decisions.AgentGate;
+import org.wigeonferry.decisions.ColdStartRamp;
+import org.wigeonferry.decisions.GateSituation;
+import org.wigeonferry.decisions.Suspicion;
+import org.wigeonferry.node_runtime.ControlState;
+import org.wigeonferry.settings.Settings;
+
+/**
+ * Control state of an agent: the gate and what it looks at.
+ *
+ * <p>Not thread safe; owned by the control thread.
+ */
+final class Admission {
+    private static final Logger LOG = LoggerFactory.getLogger(Admission.class);
+
+    private final ControlState state;
+    private final ColdStartRamp ramp;
+    private final AgentGate gate;
+    private boolean stopping;
+    private boolean hostLeaving;
+    private Runnable whenIdle = () -> {};
+
+    Admission(ControlState state, Settings settings) {
+        this.state = state;
+        this.ramp =
+                new ColdStartRamp(
+                        1,
+                        settings.value(AgentKeys.SLOW_FIRST_TOKEN),
+                        settings.value(AgentKeys.EVIDENCE_LIFETIME));
+        this.gate =
+                new AgentGate(
+                        new UpstreamId(settings.value(AgentKeys.UPSTREAM)),
+                        AdmissionRules.all(),
+                        ramp,
+                        state.suspects());
+    }
+
+    Optional<Refusal> admit(StartOrder order) {
+        long now = System.nanoTime();
+        GateSituation situation =
+                new GateSituation(state.catalog(), state.fresh(now), stopping, hostLeaving);
+        return gate.admit(order, situation, now);
+    }
+
+    void onFirstToken(Duration latency) {
+        ramp.onFirstToken(latency, gate.inFlightCount(), System.nanoTime());
+    }
+
+    AgentLoad onFinished(StartOrder order) {
+        gate.onFinished(order);
+        checkIdle();
+        return load();
+    }
+
+    void onCancelled(StartOrder order) {
+        gate.onCancelled(order);
+        checkIdle();
+    }
+
+    /** Notes that the engine was lost; returns the suspicions that follow. */
+    List<Suspicion> onEngineLost() {
+        List<Suspicion> suspicions = gate.onEngineLost(System.nanoTime());
+        LOG.atWarn().addKeyValue("suspects", suspicions.size()).log("engine lost");
+        checkIdle();
+        return suspicions;
+    }
+
+    boolean inFlight(StartOrder order) {
+        return gate.inFlight(order);
+    }
+
+    boolean condemned(StartOrder order) {
+        return state.suspects().condemned(order.digest(), System.nanoTime());
+    }
+
+    AgentLoad load() {
+        return new AgentLoad(gate.inFlightCount(), ramp.limit(System.nanoTime()));
+    }
+
+    void onHostLeaving(boolean leaving) {
+        hostLeaving = leaving;
+    }
+
+    /** Admits nothing from now on; runs the action once no attempt is in flight. */
+    void stopWhenIdle(Runnable action) {
+        stopping = true;
+        whenIdle = action;
+        checkIdle();
+    }
+
+    private void checkIdle() {
+        if (stopping && gate.inFlightCount() == 0) {
+            whenIdle.run();
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/wigeonferry/agent/Agent.java
@@ -0,0 +1,144 @@
+package org.wigeonferry.agent;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Server;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.NodeId;
+import org.wigeonferry.core_types.StepException;
+import org.wigeonferry.core_types.ZoneId;
+import org.wigeonferry.decisions.Role;
+import org.wigeonferry.node_runtime.ControlState;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Daemon;
+import org.wigeonferry.node_runtime.Exchanger;
+import org.wigeonferry.node_runtime.HttpClients;
+import org.wigeonferry.node_runtime.HttpServers;
+import org.wigeonferry.node_runtime.MetricsEndpoints;
+import org.wigeonferry.node_runtime.NodeIdentity;
+import org.wigeonferry.node_runtime.NodeKeys;
+import org.wigeonferry.node_runtime.NodeMetrics;
+import org.wigeonferry.node_runtime.PeerCalls;
+import org.wigeonferry.node_runtime.PeerEndpoint;
+import org.wigeonferry.node_runtime.Routes;
+import org.wigeonferry.platform_clients.HttpTableService;
+import org.wigeonferry.platform_clients.JsonCalls;
+import org.wigeonferry.settings.Settings;
+
+/**
+ * The process beside an upstream: the only way in to it.
+ *
+ * <p>Thread safe.
+ */
+public final class Agent implements Daemon {
+    private static final Logger LOG = LoggerFactory.getLogger(Agent.class);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration MAX_EXCHANGE_TIMEOUT = Duration.ofSeconds(1);
+
+    private final ControlThread control = new ControlThread("control");
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final ControlState state;
+    private final Admission admission;
+    private final HttpClient upstreamClient;
+    private final HttpClient peerClient;
+    private final Server server;
+
+    /** Starts the agent. */
+    public Agent(Settings settings) throws StepException {
+        NodeIdentity identity = identity(settings);
+        state = new ControlState(identity, settings);
+        admission = new Admission(state, settings);
+        upstreamClient = HttpClients.http1("upstream-client", CONNECT_TIMEOUT);
+        peerClient = HttpClients.http2("peer-client", CONNECT_TIMEOUT);
+        Exchanger exchanger =
+                new Exchanger(
+                        control,
+                        state,
+                        new PeerCalls(peerClient, settings.value(NodeKeys.PEER_KEY)),
+                        settings.value(NodeKeys.SEEDS),
+                        MAX_EXCHANGE_TIMEOUT);
+        OrderEndpoint orders =
+                new OrderEndpoint(control, state, admission, exchanger, runner(settings), metrics);
+        String key = settings.value(NodeKeys.PEER_KEY);
+        Routes routes =
+                new Routes()
+                        .add("POST", OrderEndpoint.PATH, PeerEndpoint.guarded(key, orders::serve))
+                        .add("POST", Exchanger.PATH, PeerEndpoint.bytes(key, exchanger::answer))
+                        .add("GET", "/metrics", MetricsEndpoints.text(metrics.registry()))
+                        .add("GET", "/metrics.json", MetricsEndpoints.json(metrics.registry()));
+        server = HttpServers.start("agent", identity.address(), routes);
+        exchanger.start(settings.value(NodeKeys.EXCHANGE_PERIOD));
+        watch(settings).start();
+        LOG.atInfo().addKeyValue("upstream", settings.value(AgentKeys.UPSTREAM)).log("agent up");
+    }
+
+    @Override
+    public void drain(Duration deadline) {
+        CountDownLatch idle = new CountDownLatch(1);
+        control.run(() -> admission.stopWhenIdle(idle::countDown));
+        try {
+            if (!idle.await(deadline.toMillis(), TimeUnit.MILLISECONDS)) {
+                LOG.warn("stop deadline passed with work in flight");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void stop() {
+        try {
+            server.stop();
+            upstreamClient.stop();
+            peerClient.stop();
+        } catch (Exception e) {
+            LOG.warn("stop was not clean", e);
+        }
+        control.close();
+    }
+
+    private OrderRunner runner(Settings settings) {
+        HostAddress upstream = settings.value(AgentKeys.UPSTREAM_ADDRESS);
+        HttpTableService table =
+                new HttpTableService(
+                        new JsonCalls(
+                                upstreamClient,
+                                settings.value(NodeKeys.TABLE),
+                                settings.value(NodeKeys.TABLE_TIMEOUT)));
+        OrderRunner models = new ModelRunner(upstreamClient, upstream, control, admission, metrics);
+        OrderRunner services =
+                new ServiceRunner(
+                        control,
+                        admission,
+                        new ServiceCalls(upstreamClient, upstream),
+                        table,
+                        new Abandonment(control, table),
+                        state.identity().incarnation().value());
+        return (order, message, sink) -> {
+            OrderRunner runner = order.service().isPresent() ? services : models;
+            runner.run(order, message, sink);
+        };
+    }
+
+    private EngineWatch watch(Settings settings) {
+        return new EngineWatch(
+                upstreamClient,
+                settings.value(AgentKeys.UPSTREAM_ADDRESS),
+                control,
+                admission::onEngineLost,
+                admission::onHostLeaving);
+    }
+
+    private static NodeIdentity identity(Settings settings) {
+        return new NodeIdentity(
+                new NodeId(settings.value(NodeKeys.NAME)),
+                Role.AGENT,
+                new ZoneId(settings.value(NodeKeys.ZONE)),
+                settings.value(NodeKeys.PEER_ADDRESS),
+                System.currentTimeMillis());
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/wigeonferry/agent/FrameSink.java
@@ -0,0 +1,63 @@
+package org.wigeonferry.agent;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.messages.FrameWriter;
+import org.wigeonferry.messages.gen.FrameMessage;
+import org.wigeonferry.node_runtime.PeerCalls;
+
+/**
+ * Writes the frames of one answer to the entry.
+ *
+ * <p>One write is in progress at a time: the caller continues in the callback. Not thread safe; one
+ * sink belongs to one attempt.
+ */
+final class FrameSink {
+    private static final int OK = 200;
+
+    private final Response response;
+    private final Callback callback;
+
+    FrameSink(Response response, Callback callback) {
+        this.response = response;
+        this.callback = callback;
+        response.setStatus(OK);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, PeerCalls.CONTENT_TYPE);
+    }
+
+    /** Writes frames; the callback says when the next may follow, or that the entry is gone. */
+    void write(List<FrameMessage> frames, Callback written) {
+        try {
+            response.write(false, encode(frames), written);
+        } catch (CodecException e) {
+            written.failed(e);
+        }
+    }
+
+    /** Writes the last frame and ends the answer. */
+    void finish(FrameMessage frame) {
+        try {
+            response.write(true, FrameWriter.write(frame), callback);
+        } catch (CodecException e) {
+            callback.failed(e);
+        }
+    }
+
+    private static ByteBuffer encode(List<FrameMessage> frames) throws CodecException {
+        int length = 0;
+        ByteBuffer[] buffers = new ByteBuffer[frames.size()];
+        for (int i = 0; i < buffers.length; i++) {
+            buffers[i] = FrameWriter.write(frames.get(i));
+            length += buffers[i].remaining();
+        }
+        ByteBuffer all = ByteBuffer.allocate(length);
+        for (ByteBuffer buffer : buffers) {
+            all.put(buffer);
+        }
+        return all.flip();
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
@@ -0,0 +1,153 @@
+package org.wigeonferry.agent;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.RefusalReason;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.messages.Codec;
+import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.messages.Frames;
+import org.wigeonferry.messages.Orders;
+import org.wigeonferry.messages.gen.OrderMessage;
+import org.wigeonferry.node_runtime.ApiError;
+import org.wigeonferry.node_runtime.Bodies;
+import org.wigeonferry.node_runtime.ControlState;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Exchanger;
+import org.wigeonferry.node_runtime.NodeMetrics;
+import org.wigeonferry.node_runtime.Replies;
+
+/**
+ * Receives orders of entries: asks the gate, then runs or refuses.
+ *
+ * <p>An order chosen by a newer configuration makes the agent catch up with its sender before the
+ * gate decides. Thread safe.
+ */
+final class OrderEndpoint {
+    static final String PATH = "/order";
+
+    private static final Logger LOG = LoggerFactory.getLogger(OrderEndpoint.class);
+    private static final int MAX_ORDER_BYTES = 4 << 20;
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAVAILABLE = 503;
+
+    private final ControlThread control;
+    private final ControlState state;
+    private final Admission admission;
+    private final Exchanger exchanger;
+    private final OrderRunner runner;
+    private final NodeMetrics metrics;
+
+    OrderEndpoint(
+            ControlThread control,
+            ControlState state,
+            Admission admission,
+            Exchanger exchanger,
+            OrderRunner runner,
+            NodeMetrics metrics) {
+        this.control = control;
+        this.state = state;
+        this.admission = admission;
+        this.exchanger = exchanger;
+        this.runner = runner;
+        this.metrics = metrics;
+    }
+
+    void serve(Request request, Response response, Callback callback) {
+        Bodies.read(request, MAX_ORDER_BYTES)
+                .whenComplete(
+                        (body, failure) -> {
+                            if (failure != null) {
+                                bad(response, callback, failure);
+                                return;
+                            }
+                            onBody(body, response, callback);
+                        });
+    }
+
+    private void onBody(byte[] body, Response response, Callback callback) {
+        try {
+            OrderMessage message = Codec.decode(body, new OrderMessage());
+            StartOrder order = Orders.toOrder(message);
+            decide(order, message)
+                    .whenComplete(
+                            (refusal, failure) -> {
+                                if (failure != null) {
+                                    unavailable(response, callback, failure);
+                                    return;
+                                }
+                                onDecision(
+                                        order, message, refusal, new FrameSink(response, callback));
+                            });
+        } catch (CodecException e) {
+            bad(response, callback, e);
+        }
+    }
+
+    private CompletableFuture<Optional<Refusal>> decide(StartOrder order, OrderMessage message) {
+        return control.ask(() -> admission.admit(order))
+                .thenCompose(
+                        refusal -> {
+                            if (!behind(refusal)) {
+                                return CompletableFuture.completedFuture(refusal);
+                            }
+                            return catchUp(message)
+                                    .thenCompose(done -> control.ask(() -> admission.admit(order)));
+                        });
+    }
+
+    private CompletableFuture<Boolean> catchUp(OrderMessage message) {
+        HostAddress sender = HostAddress.parse(message.getEntryAddress());
+        return control.ask(() -> exchanger.exchange(sender)).thenCompose(reply -> reply);
+    }
+
+    private static boolean behind(Optional<Refusal> refusal) {
+        return refusal.filter(
+                        r ->
+                                r.reason() == RefusalReason.REVISION_BEHIND
+                                        || r.reason() == RefusalReason.NODE_STALE)
+                .isPresent();
+    }
+
+    private void onDecision(
+            StartOrder order, OrderMessage message, Optional<Refusal> refusal, FrameSink sink) {
+        if (refusal.isEmpty()) {
+            metrics.count("orders_admitted", "account", order.account().value());
+            runner.run(order, message, sink);
+            return;
+        }
+        metrics.count("orders_refused", "reason", refusal.get().reason().name());
+        control.ask(admission::load)
+                .thenAccept(
+                        load ->
+                                sink.finish(
+                                        Frames.refusal(
+                                                order,
+                                                refusal.get(),
+                                                state.catalog().revision(),
+                                                load.inFlight(),
+                                                load.limit())));
+    }
+
+    private static void bad(Response response, Callback callback, Throwable failure) {
+        LOG.warn("bad order: {}", failure.toString());
+        Replies.error(
+                response,
+                callback,
+                new ApiError(BAD_REQUEST, "bad_message", true, failure.toString()));
+    }
+
+    private static void unavailable(Response response, Callback callback, Throwable failure) {
+        Replies.error(
+                response,
+                callback,
+                new ApiError(UNAVAILABLE, "overloaded", true, failure.toString()));
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/wigeonferry/agent/ServiceResult.java
@@ -0,0 +1,23 @@
+package org.wigeonferry.agent;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.wigeonferry.platform_clients.JsonCalls;
+
+/**
+ * Answer of a plain service.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param status HTTP status
+ * @param body body as text
+ */
+record ServiceResult(int status, String body) {
+    String write() {
+        return JsonCalls.object().put("status", status).put("body", body).toString();
+    }
+
+    static ServiceResult read(String text) {
+        JsonNode json = JsonCalls.parse(text);
+        return new ServiceResult(json.path("status").asInt(), json.path("body").asText());
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/wigeonferry/agent/ServiceRunner.java
@@ -0,0 +1,129 @@
+package org.wigeonferry.agent;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.eclipse.jetty.util.Callback;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.RefusalReason;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.messages.Frames;
+import org.wigeonferry.messages.gen.EndMessage;
+import org.wigeonferry.messages.gen.FailureMessage;
+import org.wigeonferry.messages.gen.OrderMessage;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.platform_clients.TableService;
+
+/**
+ * Runs orders on a plain service: idempotent ones at once, others at most once.
+ *
+ * <p>Thread safe.
+ */
+final class ServiceRunner implements OrderRunner {
+    private final ControlThread control;
+    private final Admission admission;
+    private final ServiceCalls calls;
+    private final TableService table;
+    private final Abandonment abandonment;
+    private final String incarnation;
+
+    ServiceRunner(
+            ControlThread control,
+            Admission admission,
+            ServiceCalls calls,
+            TableService table,
+            Abandonment abandonment,
+            String incarnation) {
+        this.control = control;
+        this.admission = admission;
+        this.calls = calls;
+        this.table = table;
+        this.abandonment = abandonment;
+        this.incarnation = incarnation;
+    }
+
+    @Override
+    public void run(StartOrder order, OrderMessage message, FrameSink sink) {
+        long started = System.nanoTime();
+        if (order.idempotencyKey().isEmpty()) {
+            runIdempotent(order, message.getBody(), sink, started);
+            return;
+        }
+        String token = incarnation + "/" + order.attemptKey();
+        new StartOnceFlow(order, token, message.getBody(), control, calls, table, abandonment)
+                .begin()
+                .whenComplete((end, failure) -> reply(order, sink, started, end, failure));
+    }
+
+    private void runIdempotent(StartOrder order, byte[] body, FrameSink sink, long started) {
+        calls.call(order, body)
+                .handle(
+                        (result, failure) -> {
+                            if (failure == null) {
+                                return ServiceOutcome.finished(result, false);
+                            }
+                            if (ServiceCalls.nothingSent(failure)) {
+                                return ServiceOutcome.notRun(
+                                        RefusalReason.NOT_CONNECTED, "service took no request");
+                            }
+                            return ServiceOutcome.unknown(failure.toString());
+                        })
+                .whenComplete((end, failure) -> reply(order, sink, started, end, failure));
+    }
+
+    private void reply(
+            StartOrder order,
+            FrameSink sink,
+            long startedNanos,
+            ServiceOutcome end,
+            Throwable failure) {
+        Duration latency = Duration.ofNanos(System.nanoTime() - startedNanos);
+        ServiceOutcome outcome = failure == null ? end : ServiceOutcome.unknown(failure.toString());
+        control.run(
+                () -> {
+                    if (outcome.result().isPresent()) {
+                        admission.onFirstToken(latency);
+                    }
+                    AgentLoad load = admission.onFinished(order);
+                    if (outcome.refusal().isPresent()) {
+                        refuse(order, sink, outcome.refusal().get(), load);
+                    } else if (outcome.result().isPresent()) {
+                        finish(order, sink, outcome, load);
+                    } else {
+                        fail(order, sink, outcome.detail());
+                    }
+                });
+    }
+
+    private static void refuse(StartOrder order, FrameSink sink, Refusal refusal, AgentLoad load) {
+        sink.finish(
+                Frames.refusal(order, refusal, order.revision(), load.inFlight(), load.limit()));
+    }
+
+    private static void finish(
+            StartOrder order, FrameSink sink, ServiceOutcome outcome, AgentLoad load) {
+        ServiceResult result = outcome.result().orElseThrow();
+        byte[] body = result.body().getBytes(StandardCharsets.UTF_8);
+        EndMessage end = new EndMessage();
+        end.setLength(body.length);
+        end.setTarget(order.service().map(Object::toString).orElse(""));
+        end.setTokens(0);
+        end.setInFlight(load.inFlight());
+        end.setLimit(load.limit());
+        end.setStatus(result.status());
+        end.setStored(outcome.stored());
+        sink.write(
+                List.of(Frames.chunk(order, 0, body)),
+                Callback.from(() -> sink.finish(Frames.end(order, end)), ignored -> {}));
+    }
+
+    private static void fail(StartOrder order, FrameSink sink, String detail) {
+        FailureMessage failure = new FailureMessage();
+        failure.setStep("call service");
+        failure.setPeer("service");
+        failure.setDetail(detail);
+        failure.setCrashed(false);
+        failure.setCondemned(false);
+        sink.finish(Frames.failure(order, failure));
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/wigeonferry/agent/StartOnceFlow.java
@@ -0,0 +1,193 @@
+package org.wigeonferry.agent;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.wigeonferry.core_types.ReadResult;
+import org.wigeonferry.core_types.RefusalReason;
+import org.wigeonferry.core_types.Row;
+import org.wigeonferry.core_types.RowPut;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.core_types.TableTransaction;
+import org.wigeonferry.core_types.WriteOutcome;
+import org.wigeonferry.decisions.StartOnce;
+import org.wigeonferry.decisions.StartOnceStep;
+import org.wigeonferry.decisions.StartRow;
+import org.wigeonferry.decisions.StartState;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.platform_clients.TableService;
+
+/**
+ * Takes one call that may not be repeated through the steps of {@link StartOnce}.
+ *
+ * <p>Invariant: the call is handed over at most once, after the row with this attempt's token was
+ * seen to be there. Steps follow one another, so no lock is needed.
+ */
+final class StartOnceFlow {
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(50);
+    private static final int MAX_RESULT_WRITES = 5;
+
+    private final StartOrder order;
+    private final String key;
+    private final String token;
+    private final byte[] body;
+    private final ControlThread control;
+    private final ServiceCalls calls;
+    private final TableService table;
+    private final Abandonment abandonment;
+    private final long deadlineNanos;
+    private final CompletableFuture<ServiceOutcome> outcome = new CompletableFuture<>();
+    private Duration pause = FIRST_PAUSE;
+    private Optional<Row> seen = Optional.empty();
+
+    StartOnceFlow(
+            StartOrder order,
+            String token,
+            byte[] body,
+            ControlThread control,
+            ServiceCalls calls,
+            TableService table,
+            Abandonment abandonment) {
+        this.order = order;
+        this.key = StartRows.key(order);
+        this.token = token;
+        this.body = body;
+        this.control = control;
+        this.calls = calls;
+        this.table = table;
+        this.abandonment = abandonment;
+        this.deadlineNanos = System.nanoTime() + order.remaining().toNanos();
+    }
+
+    /** Begins; the result says how the call ended. */
+    CompletableFuture<ServiceOutcome> begin() {
+        insert();
+        return outcome;
+    }
+
+    private void take(StartOnceStep step) {
+        switch (step) {
+            case RUN -> handOver();
+            case READ_BACK -> later(this::read);
+            case INSERT_AGAIN -> insert();
+            case TAKE_OVER -> takeOver();
+            case RETURN_STORED -> returnStored();
+            case REPORT_UNKNOWN -> lookUp();
+            case REPORT_CONFLICT ->
+                    outcome.complete(
+                            ServiceOutcome.notRun(
+                                    RefusalReason.KEY_CONFLICT,
+                                    "idempotency key was used with another body"));
+        }
+    }
+
+    private void insert() {
+        write(TableTransaction.insert(List.of(new RowPut(key, started()))));
+    }
+
+    private void takeOver() {
+        write(TableTransaction.replace(seen.orElseThrow(), started()));
+    }
+
+    private void write(TableTransaction transaction) {
+        table.transact(transaction).thenAccept(r -> take(StartOnce.afterWrite(r.outcome())));
+    }
+
+    private void read() {
+        table.read(key).thenAccept(this::onRead);
+    }
+
+    private void onRead(ReadResult read) {
+        if (!read.answered()) {
+            later(this::read);
+            return;
+        }
+        seen = read.row();
+        Optional<StartRow> row = seen.map(r -> StartRows.read(r.value()));
+        take(StartOnce.afterRead(row, token, order.digest()));
+    }
+
+    /** Goes on after a pause, or gives up at the deadline: nothing was handed over yet. */
+    private void later(Runnable step) {
+        if (System.nanoTime() + pause.toNanos() > deadlineNanos) {
+            abandonment.abandon(key, token, order.digest());
+            outcome.complete(
+                    ServiceOutcome.notRun(
+                            RefusalReason.STORE_UNAVAILABLE, "table service did not answer"));
+            return;
+        }
+        Duration wait = pause;
+        pause = pause.multipliedBy(2);
+        control.after(wait, step);
+    }
+
+    private void handOver() {
+        if (System.nanoTime() > deadlineNanos) {
+            abandonment.abandon(key, token, order.digest());
+            outcome.complete(
+                    ServiceOutcome.notRun(RefusalReason.DEADLINE_PASSED, "deadline passed"));
+            return;
+        }
+        calls.call(order, body)
+                .whenComplete(
+                        (result, failure) -> {
+                            if (failure == null) {
+                                store(result, MAX_RESULT_WRITES);
+                                return;
+                            }
+                            onFailure(failure);
+                        });
+    }
+
+    private void onFailure(Throwable failure) {
+        if (ServiceCalls.nothingSent(failure)) {
+            abandonment.abandon(key, token, order.digest());
+            outcome.complete(
+                    ServiceOutcome.notRun(RefusalReason.NOT_CONNECTED, "service took no request"));
+            return;
+        }
+        lookUp();
+    }
+
+    private void store(ServiceResult result, int writesLeft) {
+        table.transact(new TableTransaction(List.of(), List.of(new RowPut(key, finished(result)))))
+                .thenAccept(
+                        r -> {
+                            boolean done = r.outcome() == WriteOutcome.APPLIED || writesLeft == 0;
+                            if (!done) {
+                                control.after(FIRST_PAUSE, () -> store(result, writesLeft - 1));
+                            }
+                        });
+        outcome.complete(ServiceOutcome.finished(result, false));
+    }
+
+    private void returnStored() {
+        String text = StartRows.read(seen.orElseThrow().value()).result().orElse("");
+        outcome.complete(ServiceOutcome.finished(ServiceResult.read(text), true));
+    }
+
+    private void lookUp() {
+        calls.lookUp(order)
+                .thenAccept(
+                        found -> {
+                            if (found.isPresent()) {
+                                store(found.get(), MAX_RESULT_WRITES);
+                                return;
+                            }
+                            outcome.complete(
+                                    ServiceOutcome.unknown("another attempt may have run"));
+                        });
+    }
+
+    private String started() {
+        return StartRows.write(
+                new StartRow(order.digest(), token, StartState.STARTED, Optional.empty()));
+    }
+
+    private String finished(ServiceResult result) {
+        return StartRows.write(
+                new StartRow(
+                        order.digest(), token, StartState.FINISHED, Optional.of(result.write())));
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/wigeonferry/agent/StartRows.java
@@ -0,0 +1,44 @@
+package org.wigeonferry.agent;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.decisions.StartRow;
+import org.wigeonferry.decisions.StartState;
+import org.wigeonferry.platform_clients.JsonCalls;
+
+/**
+ * Writes start rows as text and reads them back.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class StartRows {
+    private StartRows() {}
+
+    static String key(StartOrder order) {
+        return "start/"
+                + order.account()
+                + "/"
+                + order.service().map(Object::toString).orElse("")
+                + "/"
+                + order.idempotencyKey().orElse("");
+    }
+
+    static String write(StartRow row) {
+        ObjectNode json = JsonCalls.object();
+        json.put("digest", row.digest()).put("token", row.token());
+        json.put("state", row.state().name());
+        row.result().ifPresent(result -> json.put("result", result));
+        return json.toString();
+    }
+
+    static StartRow read(String text) {
+        JsonNode json = JsonCalls.parse(text);
+        return new StartRow(
+                json.path("digest").asText(),
+                json.path("token").asText(),
+                StartState.valueOf(json.path("state").asText()),
+                Optional.ofNullable(json.get("result")).map(JsonNode::asText));
+    }
+}
--- /dev/null
+++ b/command_line/src/main/java/org/wigeonferry/command_line/DaemonCommands.java
@@ -0,0 +1,100 @@
+package org.wigeonferry.command_line;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.wigeonferry.agent.Agent;
+import org.wigeonferry.agent.AgentKeys;
+import org.wigeonferry.core_types.StepException;
+import org.wigeonferry.entry.Entry;
+import org.wigeonferry.entry.EntryKeys;
+import org.wigeonferry.node_runtime.Daemon;
+import org.wigeonferry.node_runtime.LoggingSetup;
+import org.wigeonferry.node_runtime.NodeKeys;
+import org.wigeonferry.settings.SettingKey;
+import org.wigeonferry.settings.Settings;
+import org.wigeonferry.settings.SettingsReader;
+import org.wigeonferry.stand_ins.DeskStandIn;
+import org.wigeonferry.stand_ins.EngineStandIn;
+import org.wigeonferry.stand_ins.StandInKeys;
+import org.wigeonferry.stand_ins.TableStandIn;
+
+/**
+ * Commands that run a daemon until the process is told to stop.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class DaemonCommands {
+    /** What a daemon prints once it serves. */
+    static final String READY = "ready";
+
+    private static final String[] WITH_VALUE = {"config"};
+    private static final Duration STAND_IN_DEADLINE = Duration.ofSeconds(1);
+
+    private DaemonCommands() {}
+
+    static Command entry() {
+        return arguments -> {
+            Settings settings = settings("entry", arguments, EntryKeys.all());
+            LoggingSetup.apply(settings.value(NodeKeys.LOG_JSON));
+            return run(Entry::new, settings, settings.value(NodeKeys.STOP_DEADLINE));
+        };
+    }
+
+    static Command agent() {
+        return arguments -> {
+            Settings settings = settings("agent", arguments, AgentKeys.all());
+            LoggingSetup.apply(settings.value(NodeKeys.LOG_JSON));
+            return run(Agent::new, settings, settings.value(NodeKeys.STOP_DEADLINE));
+        };
+    }
+
+    static Command standIn() {
+        Map<String, DaemonStart> kinds =
+                Map.of(
+                        "engine", EngineStandIn::new,
+                        "desk", DeskStandIn::new,
+                        "table", TableStandIn::new);
+        return arguments -> {
+            LoggingSetup.apply(false);
+            CommandLine line = Arguments.parse("stand-in", arguments, WITH_VALUE);
+            DaemonStart start = kinds.get(Arguments.word(line, "stand-in", 0));
+            if (start == null) {
+                throw new UsageException("stand-in", "expected one of " + kinds.keySet());
+            }
+            Settings settings = settings("stand-in", arguments, StandInKeys.all());
+            return run(start, settings, STAND_IN_DEADLINE);
+        };
+    }
+
+    private static Settings settings(String command, String[] arguments, List<SettingKey<?>> keys)
+            throws StepException {
+        CommandLine line = Arguments.parse(command, arguments, WITH_VALUE);
+        return SettingsReader.read(Path.of(Arguments.required(line, command, "config")), keys);
+    }
+
+    private static int run(DaemonStart start, Settings settings, Duration deadline)
+            throws StepException {
+        Daemon daemon = start.start(settings);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Thread hook =
+                new Thread(
+                        () -> {
+                            daemon.drain(deadline);
+                            daemon.stop();
+                            stopped.countDown();
+                        },
+                        "stop");
+        Runtime.getRuntime().addShutdownHook(hook);
+        System.out.println(READY);
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return ExitCodes.OK;
+    }
+}
--- /dev/null
+++ b/core_types/src/main/java/org/wigeonferry/core_types/HostAddress.java
@@ -0,0 +1,33 @@
+package org.wigeonferry.core_types;
+
+/**
+ * Address at which a process listens.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param host an IP number
+ * @param port 1 to 65535
+ */
+public record HostAddress(String host, int port) {
+    public HostAddress {
+
+        if (port < 1 || port > 65535) {
+            throw new IllegalArgumentException("port out of range: " + port);
+        }
+    }
+
+    /** Parses {@code host:port}. */
+    public static HostAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("expected host:port, found " + text);
+        }
+        return new HostAddress(
+                text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/core_types/src/main/java/org/wigeonferry/core_types/ReleaseNote.java
@@ -0,0 +1,44 @@
+package org.wigeonferry.core_types;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A parsed release note: who changes what, and why.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param operation names this change; a repeated commit of the same operation has no effect
+ * @param author who asks for the change
+ * @param reason why
+ * @param base the revision that the author read, if the author insists on it
+ * @param changes the changes in their order
+ * @param text the note as written
+ */
+public record ReleaseNote(
+        String operation,
+        String author,
+        String reason,
+        Optional<Revision> base,
+        List<Change> changes,
+        String text) {
+    public ReleaseNote {
+        changes = List.copyOf(changes);
+    }
+
+    /** Starts a builder with the default of every optional field. */
+    public static ReleaseNoteBuilder builder() {
+        return new ReleaseNoteBuilder();
+    }
+
+    /** Starts a builder that holds this value's fields. */
+    public ReleaseNoteBuilder toBuilder() {
+        return new ReleaseNoteBuilder()
+                .operation(operation)
+                .author(author)
+                .reason(reason)
+                .base(base)
+                .changes(changes)
+                .text(text);
+    }
+}
--- /dev/null
+++ b/core_types/src/main/java/org/wigeonferry/core_types/UpstreamId.java
@@ -0,0 +1,20 @@
+package org.wigeonferry.core_types;
+
+/**
+ * Names one upstream.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param value the name: lower-case letters, digits, dots, dashes, underscores
+ */
+public record UpstreamId(String value) {
+    public UpstreamId {
+
+        Names.requireName("upstream", value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/AdmissionRules.java
@@ -0,0 +1,30 @@
+package org.wigeonferry.decisions;
+
+import java.util.List;
+import org.wigeonferry.core_types.AdmissionRule;
+
+/**
+ * Lists the rules that an agent asks before it starts an attempt.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class AdmissionRules {
+    private AdmissionRules() {}
+
+    /** All rules, in the order in which they are asked. */
+    public static List<AdmissionRule> all() {
+        return List.of(
+                RevisionBehind.rule(),
+                NodeStale.rule(),
+                ProcessStopping.rule(),
+                DeadlinePassed.rule(),
+                TargetNotAllowed.rule(),
+                VersionWithdrawn.rule(),
+                TargetNotServed.rule(),
+                ZoneTakenOut.rule(),
+                UpstreamLeaving.rule(),
+                RequestCondemned.rule(),
+                SecondSuspect.rule(),
+                LimitReached.rule());
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/AgentGate.java
@@ -0,0 +1,103 @@
+package org.wigeonferry.decisions;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wigeonferry.core_types.AdmissionRule;
+import org.wigeonferry.core_types.Catalog;
+import org.wigeonferry.core_types.GateView;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.core_types.Upstream;
+import org.wigeonferry.core_types.UpstreamId;
+
+/**
+ * The last gate before an attempt starts on an upstream.
+ *
+ * <p>Invariants: every admitted attempt is counted until it is finished exactly once; an attempt
+ * that was refused is never counted. Not thread safe; owned by the control thread.
+ */
+public final class AgentGate {
+    private final UpstreamId self;
+    private final List<AdmissionRule> rules;
+    private final ColdStartRamp ramp;
+    private final SuspectRegister suspects;
+    private final Map<String, StartOrder> inFlight = new HashMap<>();
+
+    /** Guards the upstream by the rules. */
+    public AgentGate(
+            UpstreamId self,
+            List<AdmissionRule> rules,
+            ColdStartRamp ramp,
+            SuspectRegister suspects) {
+        this.self = self;
+        this.rules = List.copyOf(rules);
+        this.ramp = ramp;
+        this.suspects = suspects;
+    }
+
+    /** Admits the attempt, or says why it is not run. */
+    public Optional<Refusal> admit(StartOrder order, GateSituation situation, long nowNanos) {
+        GateView view = view(situation, nowNanos);
+        Optional<Refusal> refusal =
+                rules.stream().flatMap(rule -> rule.check(order, view).stream()).findFirst();
+        if (refusal.isEmpty()) {
+            inFlight.put(order.attemptKey(), order);
+        }
+        return refusal;
+    }
+
+    /** Notes that an admitted attempt ended without a loss of the engine. */
+    public void onFinished(StartOrder order) {
+        if (inFlight.remove(order.attemptKey()) != null) {
+            suspects.onFinished(order.digest());
+        }
+    }
+
+    /** Notes that an admitted attempt was given up before the engine gave a whole answer. */
+    public void onCancelled(StartOrder order) {
+        inFlight.remove(order.attemptKey());
+    }
+
+    /** Notes that the engine was lost; returns the suspicions that follow. */
+    public List<Suspicion> onEngineLost(long nowNanos) {
+        ramp.onCold(nowNanos);
+        List<String> digests = inFlight.values().stream().map(StartOrder::digest).toList();
+        inFlight.clear();
+        return suspects.onCrash(digests, nowNanos);
+    }
+
+    /** Tells whether an attempt is counted as in flight. */
+    public boolean inFlight(StartOrder order) {
+        return inFlight.containsKey(order.attemptKey());
+    }
+
+    /** Number of attempts admitted and not finished. */
+    public int inFlightCount() {
+        return inFlight.size();
+    }
+
+    private GateView view(GateSituation situation, long nowNanos) {
+        Catalog catalog = situation.catalog();
+        Optional<Upstream> upstream = catalog.upstream(self);
+        upstream.ifPresent(value -> ramp.max(value.maxConcurrent()));
+        return GateView.builder()
+                .catalog(catalog)
+                .upstream(upstream)
+                .fresh(situation.fresh())
+                .stopping(situation.stopping())
+                .hostLeaving(situation.hostLeaving())
+                .inFlight(inFlight.size())
+                .limit(ramp.limit(nowNanos))
+                .suspectInFlight(suspectInFlight(nowNanos))
+                .condemned(digest -> suspects.condemned(digest, nowNanos))
+                .suspected(digest -> suspects.suspected(digest, nowNanos))
+                .build();
+    }
+
+    private boolean suspectInFlight(long nowNanos) {
+        return inFlight.values().stream()
+                .anyMatch(o -> o.suspect() || suspects.suspected(o.digest(), nowNanos));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/FreshnessLedger.java
@@ -0,0 +1,70 @@
+package org.wigeonferry.decisions;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.wigeonferry.core_types.ZoneId;
+
+/**
+ * Tells whether the configuration of this process is recent enough to admit work by.
+ *
+ * <p>It is when, within the bound, news reached this process from the platform's store, or from
+ * more than half of the availability zones. A revision counts as accepted only when more than half
+ * of the zones hold it; so whoever hears from more than half of them has met it. News travels with
+ * its age, and age is counted from the moment at which this process asked: an answer that lay in a
+ * buffer while the process was paused is as old as the question.
+ *
+ * <p>Not thread safe; owned by the control thread.
+ */
+public final class FreshnessLedger {
+    private final Duration bound;
+    private final Map<ZoneId, Long> heardNanos = new HashMap<>();
+    private long storeHeardNanos;
+    private boolean storeHeard;
+
+    /** News older than {@code bound} doesn't count. */
+    public FreshnessLedger(Duration bound) {
+        this.bound = bound;
+    }
+
+    /** Notes that the store was read, by a question asked at the given time. */
+    public void onStore(long askedNanos) {
+        if (!storeHeard || askedNanos - storeHeardNanos > 0) {
+            storeHeard = true;
+            storeHeardNanos = askedNanos;
+        }
+    }
+
+    /** Notes news from an availability zone that was current at the given time. */
+    public void onZone(ZoneId zone, long currentAtNanos) {
+        heardNanos.merge(zone, currentAtNanos, (a, b) -> a - b > 0 ? a : b);
+    }
+
+    /** Tells whether work may be admitted. */
+    public boolean fresh(Collection<ZoneId> zones, long nowNanos) {
+        if (storeHeard && nowNanos - storeHeardNanos <= bound.toNanos()) {
+            return true;
+        }
+        long heard = zones.stream().filter(zone -> heardWithinBound(zone, nowNanos)).count();
+        return heard * 2 > zones.size();
+    }
+
+    /** Age of the newest news from the store; a very long time if there was none. */
+    public Duration storeAge(long nowNanos) {
+        return storeHeard ? Duration.ofNanos(nowNanos - storeHeardNanos) : bound.multipliedBy(1000);
+    }
+
+    /** Ages of the newest news of each zone that has any within the bound. */
+    public Map<ZoneId, Duration> zoneAges(long nowNanos) {
+        Map<ZoneId, Duration> ages = new HashMap<>();
+        heardNanos.forEach((zone, at) -> ages.put(zone, Duration.ofNanos(nowNanos - at)));
+        ages.values().removeIf(age -> age.compareTo(bound) > 0);
+        return ages;
+    }
+
+    private boolean heardWithinBound(ZoneId zone, long nowNanos) {
+        Long at = heardNanos.get(zone);
+        return at != null && nowNanos - at <= bound.toNanos();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/Peer.java
@@ -0,0 +1,20 @@
+package org.wigeonferry.decisions;
+
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.NodeId;
+import org.wigeonferry.core_types.ZoneId;
+
+/**
+ * A process of this system, as seen by another.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param node its name
+ * @param role whether it is an entry or an agent
+ * @param zone its availability zone
+ * @param address where it serves its peers
+ * @param epoch rises with every restart
+ * @param seenNanos monotonic time at which it was last known to live
+ */
+public record Peer(
+        NodeId node, Role role, ZoneId zone, HostAddress address, long epoch, long seenNanos) {}
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/Refusals.java
@@ -0,0 +1,18 @@
+package org.wigeonferry.decisions;
+
+import java.util.Optional;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.RefusalReason;
+
+/**
+ * Short forms that the rules of admission share.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class Refusals {
+    private Refusals() {}
+
+    static Optional<Refusal> refuse(RefusalReason reason, String detail) {
+        return Optional.of(Refusal.of(reason, detail));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/TargetNotAllowed.java
@@ -0,0 +1,35 @@
+package org.wigeonferry.decisions;
+
+import static org.wigeonferry.core_types.RefusalReason.NOT_ALLOWED;
+import static org.wigeonferry.decisions.Refusals.refuse;
+
+import java.util.Optional;
+import org.wigeonferry.core_types.AdmissionRule;
+import org.wigeonferry.core_types.ClientAccount;
+
+/**
+ * Refuses a version or service that the client account does not allow.
+ *
+ * <p>The entry checks the same; the agent checks again at its own configuration, which may be
+ * newer.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class TargetNotAllowed {
+    private TargetNotAllowed() {}
+
+    /** The rule. */
+    public static AdmissionRule rule() {
+        return (order, view) -> {
+            Optional<ClientAccount> account = view.catalog().account(order.account());
+            boolean allowed =
+                    account.isPresent()
+                            && order.version().map(account.get().versions()::contains).orElse(true)
+                            && order.service().map(account.get().services()::contains).orElse(true);
+            if (allowed) {
+                return Optional.empty();
+            }
+            return refuse(NOT_ALLOWED, "account " + order.account() + " does not allow the target");
+        };
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/TargetNotServed.java
@@ -0,0 +1,41 @@
+package org.wigeonferry.decisions;
+
+import static org.wigeonferry.core_types.RefusalReason.NOT_SERVED;
+import static org.wigeonferry.decisions.Refusals.refuse;
+
+import java.util.Optional;
+import org.wigeonferry.core_types.AdmissionRule;
+
+/**
+ * Refuses a version or service that this upstream is not assigned.
+ *
+ * <p>Catches orders chosen before an assignment changed.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class TargetNotServed {
+    private TargetNotServed() {}
+
+    /** The rule. */
+    public static AdmissionRule rule() {
+        return (order, view) -> {
+            boolean served =
+                    view.upstream()
+                            .filter(
+                                    upstream ->
+                                            order.version()
+                                                    .map(upstream.versions()::contains)
+                                                    .orElse(true))
+                            .filter(
+                                    upstream ->
+                                            order.service()
+                                                    .map(upstream.services()::contains)
+                                                    .orElse(true))
+                            .isPresent();
+            if (served) {
+                return Optional.empty();
+            }
+            return refuse(NOT_SERVED, "upstream does not serve the target");
+        };
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/VersionWithdrawn.java
@@ -0,0 +1,36 @@
+package org.wigeonferry.decisions;
+
+import static org.wigeonferry.core_types.RefusalReason.VERSION_WITHDRAWN;
+import static org.wigeonferry.decisions.Refusals.refuse;
+
+import java.util.Optional;
+import org.wigeonferry.core_types.AdmissionRule;
+
+/**
+ * Refuses a version that was withdrawn.
+ *
+ * <p>A version that the configuration does not list counts as withdrawn.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class VersionWithdrawn {
+    private VersionWithdrawn() {}
+
+    /** The rule. */
+    public static AdmissionRule rule() {
+        return (order, view) -> {
+            if (order.version().isEmpty()) {
+                return Optional.empty();
+            }
+            boolean active =
+                    order.version()
+                            .flatMap(view.catalog()::version)
+                            .filter(version -> !version.withdrawn())
+                            .isPresent();
+            if (active) {
+                return Optional.empty();
+            }
+            return refuse(VERSION_WITHDRAWN, "version " + order.version().get() + " is withdrawn");
+        };
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/AttemptFailed.java
@@ -0,0 +1,12 @@
+package org.wigeonferry.entry;
+
+/**
+ * The attempt may have run, in whole or in part.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param detail step, peer and cause
+ * @param crashed whether the upstream was lost with the attempt in flight
+ * @param condemned whether the request is known to be the cause of such a loss
+ */
+record AttemptFailed(String detail, boolean crashed, boolean condemned) implements AttemptResult {}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/Attempts.java
@@ -0,0 +1,232 @@
+package org.wigeonferry.entry;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.wigeonferry.core_types.Catalog;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.RefusalReason;
+import org.wigeonferry.core_types.ServiceId;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.core_types.Upstream;
+import org.wigeonferry.core_types.UpstreamId;
+import org.wigeonferry.core_types.VersionId;
+import org.wigeonferry.decisions.RouteQuery;
+import org.wigeonferry.decisions.Suspicion;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Exchanger;
+
+/**
+ * Tries upstreams until one gives the whole answer, the deadline passes, or the outcome is final.
+ *
+ * <p>A refusal leads to another upstream; a failure does so only if the call may be repeated, and
+ * then within the retry budget. Decisions are made on the control thread; one attempt runs at a
+ * time.
+ */
+final class Attempts {
+    private static final Duration BLOCK_AFTER_REFUSAL = Duration.ofMillis(50);
+    private static final Duration BLOCK_AFTER_LOSS = Duration.ofMillis(500);
+    private static final Duration CAPACITY_PAUSE = Duration.ofMillis(20);
+    private static final int MAX_FAILURES = 4;
+
+    private final Call call;
+    private final Optional<VersionId> version;
+    private final Optional<ServiceId> service;
+    private final String operation;
+    private final int stage;
+    private final EntryRuntime runtime;
+    private final ControlThread control;
+    private final EntryState state;
+    private final AnswerProgress progress;
+    private final Set<UpstreamId> tried = new HashSet<>();
+    private final CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+    private int attempt;
+    private int failures;
+    private String lastFailure = "";
+
+    Attempts(
+            Call call,
+            AttemptTarget target,
+            int stage,
+            EntryRuntime runtime,
+            AnswerProgress progress) {
+        this.call = call;
+        this.version = target.version();
+        this.service = target.service();
+        this.operation = target.operation();
+        this.stage = stage;
+        this.runtime = runtime;
+        this.control = runtime.control();
+        this.state = runtime.state();
+        this.progress = progress;
+    }
+
+    /** Begins; the result is the last attempt's, or a refusal if none may have run. */
+    CompletableFuture<AttemptResult> begin() {
+        control.run(this::next);
+        return result;
+    }
+
+    private void next() {
+        if (call.remaining().isNegative()) {
+            giveUp(
+                    Refusal.of(
+                            RefusalReason.DEADLINE_PASSED, "no upstream took the request in time"));
+            return;
+        }
+        long now = System.nanoTime();
+        Catalog catalog = state.shared().catalog();
+        if (state.shared().suspects().condemned(call.digest(), now)) {
+            giveUp(Refusal.of(RefusalReason.POISON, "request crashed upstreams"));
+            return;
+        }
+        if (!state.shared().fresh(now)) {
+            control.after(CAPACITY_PAUSE, this::next);
+            return;
+        }
+        RouteQuery query = new RouteQuery(call.account().id(), version, service, tried);
+        Optional<Upstream> upstream = state.router().route(query, catalog, now);
+        if (upstream.isEmpty()) {
+            waitForCapacity();
+            return;
+        }
+        send(upstream.get(), catalog);
+    }
+
+    /** All upstreams refused or are blocked: asks them anew after a pause. */
+    private void waitForCapacity() {
+        tried.clear();
+        control.after(CAPACITY_PAUSE, this::next);
+    }
+
+    private void send(Upstream upstream, Catalog catalog) {
+        StartOrder order = order(catalog);
+        attempt++;
+        state.router().onSent(upstream.id());
+        long sent = System.nanoTime();
+        AtomicBoolean first = new AtomicBoolean(true);
+        runtime.attempts()
+                .send(
+                        order,
+                        upstream,
+                        progress.offset(),
+                        call.body(),
+                        (data, demand) -> {
+                            if (first.getAndSet(false)) {
+                                noteFirstToken(upstream, sent);
+                            }
+                            progress.onBytes(data, demand);
+                        })
+                .whenComplete(
+                        (end, failure) ->
+                                control.run(
+                                        () -> {
+                                            state.router().onDone(upstream.id());
+                                            onEnd(upstream, end, failure);
+                                        }));
+    }
+
+    private void noteFirstToken(Upstream upstream, long sent) {
+        Duration latency = Duration.ofNanos(System.nanoTime() - sent);
+        control.run(() -> state.router().onFirstToken(upstream.id(), latency));
+    }
+
+    private StartOrder order(Catalog catalog) {
+        return StartOrder.builder()
+                .entry(state.shared().identity().incarnation())
+                .requestId(call.requestId())
+                .attempt(stage * STAGE_STRIDE + attempt)
+                .account(call.account().id())
+                .version(version)
+                .service(service)
+                .operation(operation)
+                .revision(catalog.revision())
+                .remaining(call.remaining())
+                .digest(call.digest())
+                .idempotencyKey(call.idempotencyKey())
+                .suspect(state.shared().suspects().suspected(call.digest(), System.nanoTime()))
+                .build();
+    }
+
+    private static final int STAGE_STRIDE = 100_000;
+
+    private void onEnd(Upstream upstream, AttemptResult end, Throwable failure) {
+        if (failure != null) {
+            onFailed(upstream, new AttemptFailed(failure.toString(), false, false));
+            return;
+        }
+        if (end instanceof AttemptFinished finished) {
+            state.router()
+                    .onReport(
+                            upstream.id(), finished.end().getInFlight(), finished.end().getLimit());
+            result.complete(finished);
+            return;
+        }
+        if (end instanceof AttemptRefused refused) {
+            onRefused(upstream, refused);
+            return;
+        }
+        onFailed(upstream, (AttemptFailed) end);
+    }
+
+    private void onRefused(Upstream upstream, AttemptRefused refused) {
+        runtime.metrics().count("refusals", "reason", refused.refusal().reason().name());
+        if (!refused.refusal().reason().retryElsewhere()) {
+            giveUp(refused.refusal());
+            return;
+        }
+        tried.add(upstream.id());
+        boolean gone = refused.refusal().reason() == RefusalReason.NOT_CONNECTED;
+        state.router()
+                .block(
+                        upstream.id(),
+                        gone ? BLOCK_AFTER_LOSS : BLOCK_AFTER_REFUSAL,
+                        System.nanoTime());
+        if (state.shared().catalog().revision().isBefore(refused.revision())) {
+            catchUp(upstream);
+            return;
+        }
+        next();
+    }
+
+    /** The agent's configuration is newer: takes it over before choosing again. */
+    private void catchUp(Upstream upstream) {
+        Exchanger exchanger = runtime.exchanger();
+        exchanger
+                .exchange(upstream.agentAddress())
+                .whenComplete((done, failure) -> control.run(this::next));
+    }
+
+    private void onFailed(Upstream upstream, AttemptFailed failed) {
+        failures++;
+        lastFailure = failed.detail();
+        runtime.metrics().count("attempt_failures", "upstream", upstream.id().value());
+        state.router().block(upstream.id(), BLOCK_AFTER_LOSS, System.nanoTime());
+        tried.add(upstream.id());
+        if (failed.crashed()) {
+            state.shared()
+                    .suspects()
+                    .merge(new Suspicion(call.digest(), failed.condemned(), System.nanoTime()));
+            runtime.exchanger().tellUrgently();
+        }
+        boolean repeatable = call.idempotencyKey().isEmpty();
+        boolean retry = repeatable && !failed.condemned() && !progress.callerGone();
+        if (retry && failures < MAX_FAILURES && state.retries().tryRetry()) {
+            next();
+            return;
+        }
+        result.complete(failed);
+    }
+
+    private void giveUp(Refusal refusal) {
+        if (failures > 0) {
+            boolean condemned = refusal.reason() == RefusalReason.POISON;
+            result.complete(new AttemptFailed(lastFailure, false, condemned));
+            return;
+        }
+        result.complete(new AttemptRefused(refusal, state.shared().catalog().revision()));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/Bills.java
@@ -0,0 +1,46 @@
+package org.wigeonferry.entry;
+
+import org.wigeonferry.core_types.AccountId;
+import org.wigeonferry.core_types.Bill;
+import org.wigeonferry.core_types.RequestId;
+import org.wigeonferry.core_types.RowPut;
+import org.wigeonferry.messages.gen.BillMessage;
+import org.wigeonferry.platform_clients.JsonCalls;
+
+/**
+ * Turns bills into messages and rows.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class Bills {
+    private Bills() {}
+
+    static BillMessage toMessage(Bill bill) {
+        return new BillMessage(
+                bill.account().value(),
+                bill.requestId().value(),
+                bill.target(),
+                bill.tokens(),
+                bill.costMicros());
+    }
+
+    static Bill toBill(BillMessage message) {
+        return Bill.builder()
+                .account(new AccountId(message.getAccount()))
+                .requestId(new RequestId(message.getRequestId()))
+                .target(message.getTarget())
+                .tokens(message.getTokens())
+                .costMicros(message.getCostMicros())
+                .build();
+    }
+
+    static RowPut toRow(Bill bill) {
+        String value =
+                JsonCalls.object()
+                        .put("target", bill.target())
+                        .put("tokens", bill.tokens())
+                        .put("cost_micros", bill.costMicros())
+                        .toString();
+        return new RowPut(bill.key(), value);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/Call.java
@@ -0,0 +1,36 @@
+package org.wigeonferry.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.wigeonferry.core_types.ClassId;
+import org.wigeonferry.core_types.ClientAccount;
+import org.wigeonferry.core_types.RequestId;
+
+/**
+ * What an entry knows of a request once it was read.
+ *
+ * <p>Immutable and thread safe, as long as nobody alters the body.
+ *
+ * @param account the client account that asks
+ * @param requestId the request
+ * @param requestClass its class
+ * @param deadline time from arrival to the end of the answer
+ * @param arrivedNanos monotonic time of arrival
+ * @param digest digest of account and body
+ * @param body the body as it came
+ * @param idempotencyKey key of a call that may not be repeated
+ */
+record Call(
+        ClientAccount account,
+        RequestId requestId,
+        ClassId requestClass,
+        Duration deadline,
+        long arrivedNanos,
+        String digest,
+        byte[] body,
+        Optional<String> idempotencyKey) {
+    /** Time left to the deadline; negative once it passed. */
+    Duration remaining() {
+        return deadline.minusNanos(System.nanoTime() - arrivedNanos);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
@@ -0,0 +1,291 @@
+package org.wigeonferry.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wigeonferry.core_types.Bill;
+import org.wigeonferry.core_types.ModelVersion;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.RefusalReason;
+import org.wigeonferry.core_types.RequestClass;
+import org.wigeonferry.core_types.VersionId;
+import org.wigeonferry.decisions.StageQuery;
+import org.wigeonferry.node_runtime.ApiError;
+import org.wigeonferry.node_runtime.Replies;
+
+/**
+ * Takes one chat-completions request through its stages to its answer.
+ *
+ * <p>A streamed answer has one stage, since it can't be taken back. Any other is rated after each
+ * stage but the last, and escalates while the rating lies below the class's threshold; without a
+ * rating the answer is delivered. Steps follow one another, so no lock is needed.
+ */
+final class ChatCall {
+    private static final int OK = 200;
+
+    private final Call call;
+    private final ChatRequest chat;
+    private final Optional<VersionId> session;
+    private final EntryRuntime runtime;
+    private final Response response;
+    private final Callback callback;
+    private List<ModelVersion> stages = List.of();
+    private int stage;
+    private long tokens;
+    private long costMicros;
+    private Optional<DeliverableAnswer> fallback = Optional.empty();
+
+    ChatCall(
+            Call call,
+            ChatRequest chat,
+            Optional<VersionId> session,
+            EntryRuntime runtime,
+            Response response,
+            Callback callback) {
+        this.call = call;
+        this.chat = chat;
+        this.session = session;
+        this.runtime = runtime;
+        this.response = response;
+        this.callback = callback;
+    }
+
+    /** Begins; call on the control thread, after the request was counted in. */
+    void begin() {
+        StageQuery query =
+                new StageQuery(
+                        call.account(),
+                        call.requestId(),
+                        call.requestClass(),
+                        Optional.of(chat.model()).filter(this::namesModel),
+                        session,
+                        chat.stream());
+        stages = runtime.state().stages().stages(query, runtime.state().shared().catalog());
+        runtime.state().retries().onRequest();
+        if (stages.isEmpty()) {
+            end(
+                    Errors.notRun(
+                            Refusal.of(
+                                    RefusalReason.NOT_ALLOWED,
+                                    "no version is allowed to the account")));
+            return;
+        }
+        runStage();
+    }
+
+    private boolean namesModel(String name) {
+        boolean isClass = name.equals(call.requestClass().value());
+        return !name.equals(ChatRequest.AUTO) && !isClass;
+    }
+
+    private void runStage() {
+        if (chat.stream()) {
+            runStreamed();
+            return;
+        }
+        CollectedAnswer answer = new CollectedAnswer();
+        new Attempts(call, AttemptTarget.model(version().id()), stage, runtime, answer)
+                .begin()
+                .thenAccept(result -> onCollected(result, answer));
+    }
+
+    private ModelVersion version() {
+        return stages.get(stage);
+    }
+
+    private void onCollected(AttemptResult result, CollectedAnswer answer) {
+        if (!(result instanceof AttemptFinished finished)) {
+            if (fallback.isPresent()) {
+                deliver(fallback.get());
+                return;
+            }
+            fail(result);
+            return;
+        }
+        count(finished);
+        DeliverableAnswer deliverable =
+                new DeliverableAnswer(version(), answer.text(), finished.end().getTokens());
+        runtime.ratings()
+                .rate(call.requestClass().value(), chat.prompt(), answer.text())
+                .thenAccept(
+                        rating ->
+                                runtime.control()
+                                        .run(
+                                                () -> {
+                                                    if (rating.isPresent()) {
+                                                        onRating(deliverable, rating.getAsDouble());
+                                                        return;
+                                                    }
+                                                    deliver(deliverable);
+                                                }));
+    }
+
+    private void onRating(DeliverableAnswer answer, double rating) {
+        double target = target();
+        double threshold = runtime.state().thresholds().threshold(call.requestClass(), target);
+        runtime.state()
+                .quality()
+                .onRating(call.requestClass(), answer.version(), rating, threshold);
+        runtime.metrics()
+                .value("rating_percent", "version", answer.version().id().value(), percent(rating));
+        boolean last = stage == stages.size() - 1;
+        if (rating >= threshold || last) {
+            runtime.state().thresholds().onDelivered(call.requestClass(), target, rating);
+            deliver(answer);
+            return;
+        }
+        fallback = Optional.of(answer);
+        stage++;
+        runStage();
+    }
+
+    private static long percent(double rating) {
+        return Math.round(rating * 100);
+    }
+
+    private double target() {
+        return runtime.state()
+                .shared()
+                .catalog()
+                .requestClass(call.requestClass())
+                .map(RequestClass::qualityTarget)
+                .orElse(0.0);
+    }
+
+    private void runStreamed() {
+        putHeaders(version());
+        ChatReplies replies = new ChatReplies(call.requestId(), version().id().value());
+        StreamedAnswer answer = new StreamedAnswer(response, callback, replies);
+        new Attempts(call, AttemptTarget.model(version().id()), stage, runtime, answer)
+                .begin()
+                .thenAccept(result -> onStreamed(result, answer));
+    }
+
+    private void onStreamed(AttemptResult result, StreamedAnswer answer) {
+        if (!(result instanceof AttemptFinished finished) || answer.callerGone()) {
+            leave("failed");
+            answer.fail(error(result));
+            return;
+        }
+        count(finished);
+        secureBill()
+                .thenAccept(
+                        secured -> {
+                            if (!secured) {
+                                leave("failed");
+                                answer.fail(Errors.unknown("bill could not be secured"));
+                                return;
+                            }
+                            leave("answered");
+                            answer.finish();
+                            learn(answer.text());
+                        });
+    }
+
+    private void learn(String text) {
+        ModelVersion version = version();
+        runtime.ratings()
+                .rate(call.requestClass().value(), chat.prompt(), text)
+                .thenAccept(
+                        rating ->
+                                rating.ifPresent(
+                                        value ->
+                                                runtime.control()
+                                                        .run(
+                                                                () ->
+                                                                        runtime.state()
+                                                                                .quality()
+                                                                                .onRating(
+                                                                                        call
+                                                                                                .requestClass(),
+                                                                                        version,
+                                                                                        value,
+                                                                                        target()))));
+    }
+
+    private void count(AttemptFinished finished) {
+        tokens += finished.end().getTokens();
+        costMicros += finished.end().getTokens() * version().costMicrosPerToken();
+    }
+
+    private java.util.concurrent.CompletableFuture<Boolean> secureBill() {
+        return runtime.bills()
+                .secure(
+                        Bill.builder()
+                                .account(call.account().id())
+                                .requestId(call.requestId())
+                                .target(version().id().value())
+                                .tokens(tokens)
+                                .costMicros(costMicros)
+                                .build());
+    }
+
+    private void deliver(DeliverableAnswer answer) {
+        secureBill()
+                .thenAccept(
+                        secured -> {
+                            if (!secured) {
+                                end(Errors.unknown("bill could not be secured"));
+                                return;
+                            }
+                            leave("answered");
+                            putHeaders(answer.version());
+                            ChatReplies replies =
+                                    new ChatReplies(
+                                            call.requestId(), answer.version().id().value());
+                            Replies.json(
+                                    response,
+                                    callback,
+                                    OK,
+                                    replies.whole(answer.text(), answer.tokens()));
+                        });
+    }
+
+    private void putHeaders(ModelVersion version) {
+        response.getHeaders().put(Headers.VERSION, version.id().value());
+        response.getHeaders().put(Headers.STAGES, Integer.toString(stage + 1));
+        response.getHeaders().put(Headers.REQUEST_ID, call.requestId().value());
+        response.getHeaders()
+                .put(Headers.SESSION, runtime.sessions().issue(call.account().id(), version.id()));
+    }
+
+    private void fail(AttemptResult result) {
+        end(error(result));
+    }
+
+    private ApiError error(AttemptResult result) {
+        if (result instanceof AttemptRefused refused) {
+            return stage == 0
+                    ? Errors.notRun(refused.refusal())
+                    : Errors.unknown(refused.refusal().detail());
+        }
+        if (result instanceof AttemptFailed failed && failed.condemned()) {
+            return Errors.poison(failed.detail());
+        }
+        return Errors.unknown(
+                result instanceof AttemptFailed failed ? failed.detail() : "caller went away");
+    }
+
+    private void end(ApiError error) {
+        leave(error.code());
+        Replies.error(response, callback, error);
+    }
+
+    private void leave(String outcome) {
+        String account = call.account().id().value();
+        Duration latency = Duration.ofNanos(System.nanoTime() - call.arrivedNanos());
+        runtime.metrics().time("latency", "account", account, latency);
+        runtime.metrics().time("latency", "class", call.requestClass().value(), latency);
+        runtime.metrics().value("cost_micros", "class", call.requestClass().value(), costMicros);
+        runtime.metrics().value("stages", "class", call.requestClass().value(), stage + 1L);
+        runtime.metrics().count("requests_" + outcome, "account", account);
+        runtime.control()
+                .run(
+                        () -> {
+                            runtime.state().limits().leave(call.account().id());
+                            runtime.state().checkIdle();
+                        });
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/CollectedAnswer.java
@@ -0,0 +1,37 @@
+package org.wigeonferry.entry;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * An answer held whole before it is delivered.
+ *
+ * <p>Used by one attempt at a time; read after the attempt's end.
+ */
+final class CollectedAnswer implements AnswerProgress {
+    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+    @Override
+    public void onBytes(byte[] data, Runnable demand) {
+        bytes.write(data, 0, data.length);
+        demand.run();
+    }
+
+    @Override
+    public long offset() {
+        return bytes.size();
+    }
+
+    @Override
+    public boolean callerGone() {
+        return false;
+    }
+
+    String text() {
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    byte[] bytes() {
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/Committer.java
@@ -0,0 +1,264 @@
+package org.wigeonferry.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonferry.core_types.Catalog;
+import org.wigeonferry.core_types.CommittedNote;
+import org.wigeonferry.core_types.ReadResult;
+import org.wigeonferry.core_types.ReleaseNote;
+import org.wigeonferry.core_types.ReleaseNoteException;
+import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.core_types.Row;
+import org.wigeonferry.core_types.RowCondition;
+import org.wigeonferry.core_types.RowPut;
+import org.wigeonferry.core_types.TableTransaction;
+import org.wigeonferry.core_types.TransactResult;
+import org.wigeonferry.core_types.ZoneId;
+import org.wigeonferry.decisions.Acceptance;
+import org.wigeonferry.decisions.Holder;
+import org.wigeonferry.node_runtime.ControlState;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Exchanger;
+import org.wigeonferry.platform_clients.TableService;
+import org.wigeonferry.settings.CatalogText;
+import org.wigeonferry.settings.Notes;
+
+/**
+ * Commits release notes, one revision after another.
+ *
+ * <p>The commit is one transaction on condition that the newest revision has not changed and that
+ * the operation was not committed before. A lost answer is settled by the operation's row. Thread
+ * safe; state is touched on the control thread only.
+ */
+final class Committer {
+    private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
+    private static final int MAX_TRIES = 8;
+    private static final int SNAPSHOT_EVERY = 128;
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
+    private static final Duration ACCEPTANCE_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration HOLDER_MAX_AGE = Duration.ofSeconds(30);
+
+    private final ControlThread control;
+    private final ControlState state;
+    private final TableService table;
+    private final StorePoller poller;
+    private final Exchanger exchanger;
+    private final List<AcceptanceWait> waits = new ArrayList<>();
+
+    Committer(
+            ControlThread control,
+            ControlState state,
+            TableService table,
+            StorePoller poller,
+            Exchanger exchanger) {
+        this.control = control;
+        this.state = state;
+        this.table = table;
+        this.poller = poller;
+        this.exchanger = exchanger;
+        state.onHolderNews(this::checkWaits);
+    }
+
+    /** Checks a note against the newest configuration without committing it. */
+    CompletableFuture<CommitResult> check(ReleaseNote note) {
+        return control.ask(
+                () ->
+                        misfit(note)
+                                .orElseGet(
+                                        () ->
+                                                CommitResult.of(
+                                                        CommitState.CHECKED,
+                                                        state.catalog().revision().next(),
+                                                        "note fits")));
+    }
+
+    /** Commits a note. */
+    CompletableFuture<CommitResult> commit(ReleaseNote note) {
+        return attempt(note, MAX_TRIES);
+    }
+
+    private CompletableFuture<CommitResult> attempt(ReleaseNote note, int triesLeft) {
+        if (triesLeft == 0) {
+            return control.ask(
+                    () ->
+                            CommitResult.of(
+                                    CommitState.UNKNOWN,
+                                    state.catalog().revision(),
+                                    "table service did not answer; commit the same operation again"));
+        }
+        return poller.poll()
+                .thenCompose(
+                        heard ->
+                                heard
+                                        ? table.read(ConfigRows.HEAD)
+                                        : CompletableFuture.completedFuture(ReadResult.UNANSWERED))
+                .thenCompose(
+                        head ->
+                                control.ask(() -> onHead(note, head, triesLeft))
+                                        .thenCompose(result -> result));
+    }
+
+    private CompletableFuture<CommitResult> onHead(
+            ReleaseNote note, ReadResult head, int triesLeft) {
+        if (!head.answered()) {
+            return retryLater(note, triesLeft);
+        }
+        Revision newest = head.row().map(ConfigRows::revision).orElse(Revision.NONE);
+        if (!newest.equals(state.catalog().revision())) {
+            return attempt(note, triesLeft - 1);
+        }
+        Optional<CommitResult> misfit = misfit(note);
+        if (misfit.isPresent()) {
+            return committedBefore(note).thenApply(before -> before.orElse(misfit.get()));
+        }
+        Revision revision = newest.next();
+        return table.transact(transaction(note, revision, head.row()))
+                .thenCompose(
+                        result ->
+                                control.ask(() -> onWrite(note, revision, result, triesLeft))
+                                        .thenCompose(done -> done));
+    }
+
+    private TableTransaction transaction(ReleaseNote note, Revision revision, Optional<Row> head) {
+        String operation = ConfigRows.operationKey(note);
+        return new TableTransaction(
+                List.of(
+                        new RowCondition(ConfigRows.HEAD, head.map(Row::version)),
+                        new RowCondition(operation, Optional.empty())),
+                List.of(
+                        ConfigRows.head(revision),
+                        ConfigRows.note(note, revision, System.currentTimeMillis()),
+                        new RowPut(operation, Long.toString(revision.number()))));
+    }
+
+    private CompletableFuture<CommitResult> onWrite(
+            ReleaseNote note, Revision revision, TransactResult result, int triesLeft) {
+        return switch (result.outcome()) {
+            case APPLIED -> inForce(note, revision);
+            case REFUSED ->
+                    committedBefore(note)
+                            .thenCompose(
+                                    before ->
+                                            before.isPresent()
+                                                    ? CompletableFuture.completedFuture(
+                                                            before.get())
+                                                    : attempt(note, triesLeft - 1));
+            case UNKNOWN -> retryLater(note, triesLeft);
+        };
+    }
+
+    private CompletableFuture<CommitResult> retryLater(ReleaseNote note, int triesLeft) {
+        CompletableFuture<CommitResult> result = new CompletableFuture<>();
+        control.after(
+                RETRY_PAUSE,
+                () -> attempt(note, triesLeft - 1).whenComplete((r, f) -> pass(result, r, f)));
+        return result;
+    }
+
+    private static void pass(
+            CompletableFuture<CommitResult> to, CommitResult result, Throwable failure) {
+        if (failure != null) {
+            to.completeExceptionally(failure);
+            return;
+        }
+        to.complete(result);
+    }
+
+    /** Finds the revision of an operation that was committed before, by this try or another. */
+    private CompletableFuture<Optional<CommitResult>> committedBefore(ReleaseNote note) {
+        return table.read(ConfigRows.operationKey(note))
+                .thenCompose(
+                        read -> {
+                            if (read.row().isEmpty()) {
+                                return CompletableFuture.completedFuture(Optional.empty());
+                            }
+                            Revision revision = ConfigRows.revision(read.row().get());
+                            return poller.poll()
+                                    .thenCompose(
+                                            heard -> control.ask(() -> awaitAcceptance(revision)))
+                                    .thenCompose(result -> result)
+                                    .thenApply(Optional::of);
+                        });
+    }
+
+    private Optional<CommitResult> misfit(ReleaseNote note) {
+        Catalog catalog = state.catalog();
+        if (note.base().isPresent() && !note.base().get().equals(catalog.revision())) {
+            return Optional.of(
+                    CommitResult.of(
+                            CommitState.CONFLICT,
+                            catalog.revision(),
+                            "note is based on revision " + note.base().get().number()));
+        }
+        try {
+            Notes.apply(catalog, note, catalog.revision().next());
+            return Optional.empty();
+        } catch (ReleaseNoteException e) {
+            return Optional.of(
+                    CommitResult.of(CommitState.REJECTED, catalog.revision(), e.getMessage()));
+        }
+    }
+
+    private CompletableFuture<CommitResult> inForce(ReleaseNote note, Revision revision) {
+        state.offer(List.of(new CommittedNote(revision, note.text(), false)));
+        LOG.atInfo()
+                .addKeyValue("revision", revision.number())
+                .addKeyValue("author", note.author())
+                .addKeyValue("operation", note.operation())
+                .log("release note committed");
+        if (revision.number() % SNAPSHOT_EVERY == 0) {
+            writeSnapshot();
+        }
+        exchanger.tellUrgently();
+        return awaitAcceptance(revision);
+    }
+
+    private void writeSnapshot() {
+        Catalog catalog = state.catalog();
+        CommittedNote snapshot =
+                new CommittedNote(catalog.revision(), CatalogText.render(catalog), true);
+        table.transact(new TableTransaction(List.of(), List.of(ConfigRows.snapshot(snapshot))));
+    }
+
+    private CompletableFuture<CommitResult> awaitAcceptance(Revision revision) {
+        AcceptanceWait wait = new AcceptanceWait(revision, new CompletableFuture<>());
+        waits.add(wait);
+        control.after(
+                ACCEPTANCE_TIMEOUT,
+                () -> {
+                    waits.remove(wait);
+                    wait.result().complete(progress(revision));
+                });
+        checkWaits();
+        return wait.result();
+    }
+
+    private void checkWaits() {
+        for (AcceptanceWait wait : List.copyOf(waits)) {
+            CommitResult progress = progress(wait.revision());
+            if (progress.state() == CommitState.ACCEPTED) {
+                waits.remove(wait);
+                wait.result().complete(progress);
+            }
+        }
+    }
+
+    /** How far a revision has come; call on the control thread. */
+    CommitResult progress(Revision revision) {
+        List<Holder> holders = state.holders(System.nanoTime(), HOLDER_MAX_AGE);
+        Set<ZoneId> zones = Acceptance.holdingZones(state.identity().zone(), holders, revision);
+        boolean accepted = Acceptance.accepted(zones, state.zones());
+        return new CommitResult(
+                accepted ? CommitState.ACCEPTED : CommitState.COMMITTED,
+                revision,
+                accepted ? "held by more than half of the zones" : "held by too few zones yet",
+                zones,
+                Acceptance.lagging(holders, revision).stream().map(h -> h.peer().node()).toList());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/ConfigRows.java
@@ -0,0 +1,71 @@
+package org.wigeonferry.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import org.wigeonferry.core_types.CommittedNote;
+import org.wigeonferry.core_types.ReleaseNote;
+import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.core_types.Row;
+import org.wigeonferry.core_types.RowPut;
+import org.wigeonferry.platform_clients.JsonCalls;
+
+/**
+ * Rows of the table service that hold the configuration.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class ConfigRows {
+    /** Row with the newest revision. */
+    static final String HEAD = "config/head";
+
+    /** Row with a recent snapshot. */
+    static final String SNAPSHOT = "config/snapshot";
+
+    /** Prefix of the rows with release notes. */
+    static final String NOTES = "config/note/";
+
+    private static final String OPERATIONS = "config/operation/";
+
+    private ConfigRows() {}
+
+    static String noteKey(Revision revision) {
+        return NOTES + String.format(Locale.ROOT, "%016d", revision.number());
+    }
+
+    static String operationKey(ReleaseNote note) {
+        return OPERATIONS + note.operation();
+    }
+
+    static RowPut head(Revision revision) {
+        return new RowPut(HEAD, Long.toString(revision.number()));
+    }
+
+    static Revision revision(Row row) {
+        return new Revision(Long.parseLong(row.value()));
+    }
+
+    /** The note with who, why and when: the audit record of the change. */
+    static RowPut note(ReleaseNote note, Revision revision, long atMillis) {
+        ObjectNode json = JsonCalls.object();
+        json.put("revision", revision.number());
+        json.put("operation", note.operation());
+        json.put("author", note.author());
+        json.put("reason", note.reason());
+        json.put("at_millis", atMillis);
+        json.put("text", note.text());
+        return new RowPut(noteKey(revision), json.toString());
+    }
+
+    static CommittedNote committed(Row row, boolean snapshot) {
+        JsonNode json = JsonCalls.parse(row.value());
+        return new CommittedNote(
+                new Revision(json.path("revision").asLong()), json.path("text").asText(), snapshot);
+    }
+
+    static RowPut snapshot(CommittedNote snapshot) {
+        ObjectNode json = JsonCalls.object();
+        json.put("revision", snapshot.revision().number()).put("text", snapshot.text());
+        return new RowPut(SNAPSHOT, json.toString());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/Entry.java
@@ -0,0 +1,180 @@
+package org.wigeonferry.entry;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Server;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonferry.core_types.NodeId;
+import org.wigeonferry.core_types.StepException;
+import org.wigeonferry.core_types.ZoneId;
+import org.wigeonferry.decisions.Role;
+import org.wigeonferry.node_runtime.ControlState;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Daemon;
+import org.wigeonferry.node_runtime.Exchanger;
+import org.wigeonferry.node_runtime.HttpClients;
+import org.wigeonferry.node_runtime.HttpServers;
+import org.wigeonferry.node_runtime.MetricsEndpoints;
+import org.wigeonferry.node_runtime.NodeIdentity;
+import org.wigeonferry.node_runtime.NodeKeys;
+import org.wigeonferry.node_runtime.NodeMetrics;
+import org.wigeonferry.node_runtime.PeerCalls;
+import org.wigeonferry.node_runtime.PeerEndpoint;
+import org.wigeonferry.node_runtime.Routes;
+import org.wigeonferry.platform_clients.HttpRatingService;
+import org.wigeonferry.platform_clients.HttpTableService;
+import org.wigeonferry.platform_clients.JsonCalls;
+import org.wigeonferry.platform_clients.TableService;
+import org.wigeonferry.settings.Settings;
+
+/**
+ * The process that answers callers and operators.
+ *
+ * <p>Thread safe.
+ */
+public final class Entry implements Daemon {
+    private static final Logger LOG = LoggerFactory.getLogger(Entry.class);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration EXCHANGE_TIMEOUT = Duration.ofSeconds(1);
+
+    private final ControlThread control = new ControlThread("control");
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final ControlState shared;
+    private final EntryState state;
+    private final BillKeeper bills;
+    private final Readiness readiness;
+    private final HttpClient platformClient;
+    private final HttpClient peerClient;
+    private final Server callers;
+    private final Server peers;
+    private final Server admins;
+
+    /** Starts the entry. */
+    public Entry(Settings settings) throws StepException {
+        shared = new ControlState(identity(settings), settings);
+        state = new EntryState(shared, settings);
+        readiness = new Readiness(control, shared);
+        platformClient = HttpClients.http1("platform-client", CONNECT_TIMEOUT);
+        peerClient = HttpClients.http2("peer-client", CONNECT_TIMEOUT);
+        TableService table = table(settings);
+        String key = settings.value(NodeKeys.PEER_KEY);
+        PeerCalls calls = new PeerCalls(peerClient, key);
+        Exchanger exchanger =
+                new Exchanger(
+                        control, shared, calls, settings.value(NodeKeys.SEEDS), EXCHANGE_TIMEOUT);
+        bills = new BillKeeper(control, state, calls, table, metrics);
+        EntryRuntime runtime = runtime(settings, calls, exchanger);
+        StorePoller poller = new StorePoller(control, shared, table);
+        Committer committer = new Committer(control, shared, table, poller, exchanger);
+        Routes admin = new Routes();
+        new AdminEndpoints(runtime, committer, table, settings.value(EntryKeys.ADMIN_KEYS))
+                .addTo(admin);
+        addMetrics(admin);
+        peers = HttpServers.start("peers", shared.identity().address(), peerRoutes(key, exchanger));
+        admins = HttpServers.start("admins", settings.value(EntryKeys.ADMIN_ADDRESS), admin);
+        callers =
+                HttpServers.start(
+                        "callers",
+                        settings.value(EntryKeys.CALLER_ADDRESS),
+                        callerRoutes(runtime, settings));
+        poller.start(settings.value(EntryKeys.STORE_POLL));
+        exchanger.start(settings.value(NodeKeys.EXCHANGE_PERIOD));
+        bills.start(settings.value(EntryKeys.BILL_PERIOD));
+        LOG.atInfo().addKeyValue("node", shared.identity().node()).log("entry up");
+    }
+
+    @Override
+    public void drain(Duration deadline) {
+        readiness.onStopping();
+        CountDownLatch idle = new CountDownLatch(1);
+        control.run(() -> state.stopWhenIdle(idle::countDown));
+        long end = System.nanoTime() + deadline.toNanos();
+        try {
+            if (!idle.await(deadline.toMillis(), TimeUnit.MILLISECONDS)) {
+                LOG.warn("stop deadline passed with requests in flight");
+            }
+            long left = Math.max(0, end - System.nanoTime());
+            boolean flushed = bills.flush().get(left, TimeUnit.NANOSECONDS);
+            LOG.atInfo().addKeyValue("bills_durable", flushed).log("drained");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warn("bills are left to the peers that hold them", e);
+        }
+    }
+
+    @Override
+    public void stop() {
+        try {
+            callers.stop();
+            admins.stop();
+            peers.stop();
+            platformClient.stop();
+            peerClient.stop();
+        } catch (Exception e) {
+            LOG.warn("stop was not clean", e);
+        }
+        control.close();
+    }
+
+    private EntryRuntime runtime(Settings settings, PeerCalls calls, Exchanger exchanger) {
+        return new EntryRuntime(
+                control,
+                state,
+                new AttemptClient(calls, shared.identity().address()),
+                exchanger,
+                bills,
+                new HttpRatingService(
+                        new JsonCalls(
+                                platformClient,
+                                settings.value(EntryKeys.RATER),
+                                settings.value(EntryKeys.RATER_TIMEOUT))),
+                new SessionTokens(settings.value(EntryKeys.SESSION_KEY)),
+                metrics);
+    }
+
+    private TableService table(Settings settings) {
+        return new HttpTableService(
+                new JsonCalls(
+                        platformClient,
+                        settings.value(NodeKeys.TABLE),
+                        settings.value(NodeKeys.TABLE_TIMEOUT)));
+    }
+
+    private Routes peerRoutes(String key, Exchanger exchanger) {
+        return new Routes()
+                .add("POST", Exchanger.PATH, PeerEndpoint.bytes(key, exchanger::answer))
+                .add("POST", BillKeeper.HOLD_PATH, PeerEndpoint.bytes(key, bills::onHold));
+    }
+
+    private Routes callerRoutes(EntryRuntime runtime, Settings settings) {
+        CallReader reader = new CallReader(settings.value(EntryKeys.DEFAULT_DEADLINE));
+        ChatEndpoint chat = new ChatEndpoint(runtime, reader);
+        ServiceEndpoint services = new ServiceEndpoint(runtime, reader);
+        return new Routes()
+                .add("POST", "/v1/chat/completions", chat::serve)
+                .add("GET", "/v1/models", new ModelsEndpoint(shared)::serve)
+                .add("GET", ServiceEndpoint.PREFIX, services::serve)
+                .add("POST", ServiceEndpoint.PREFIX, services::serve)
+                .add("GET", "/ready", readiness::serve);
+    }
+
+    private void addMetrics(Routes routes) {
+        routes.add("GET", "/metrics", MetricsEndpoints.text(metrics.registry()));
+        routes.add("GET", "/metrics.json", MetricsEndpoints.json(metrics.registry()));
+    }
+
+    private static NodeIdentity identity(Settings settings) {
+        return new NodeIdentity(
+                new NodeId(settings.value(NodeKeys.NAME)),
+                Role.ENTRY,
+                new ZoneId(settings.value(NodeKeys.ZONE)),
+                settings.value(NodeKeys.PEER_ADDRESS),
+                System.currentTimeMillis());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/EntryKeys.java
@@ -0,0 +1,127 @@
+package org.wigeonferry.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.KeyDigest;
+import org.wigeonferry.node_runtime.NodeKeys;
+import org.wigeonferry.settings.SettingKey;
+import org.wigeonferry.settings.SettingKeys;
+
+/**
+ * Settings of an entry.
+ *
+ * <p>Immutable and thread safe.
+ */
+public final class EntryKeys {
+    /** Address for callers. */
+    public static final SettingKey<HostAddress> CALLER_ADDRESS =
+            SettingKeys.address("entry", "caller-address", "Where callers connect.");
+
+    /** Address for operators. */
+    public static final SettingKey<HostAddress> ADMIN_ADDRESS =
+            SettingKeys.address("entry", "admin-address", "Where operators connect.");
+
+    /** Digest of the operators' key. */
+    public static final SettingKey<List<KeyDigest>> ADMIN_KEYS =
+            new SettingKey<>(
+                    "entry",
+                    "admin-key-digests",
+                    "salt:digest pairs, separated by commas",
+                    java.util.Optional.empty(),
+                    "Digests of the operators' valid keys.",
+                    EntryKeys::digests);
+
+    /** Secret of session ids. */
+    public static final SettingKey<String> SESSION_KEY =
+            SettingKeys.text("entry", "session-key", "Secret that authenticates session ids.");
+
+    /** Rating service. */
+    public static final SettingKey<HostAddress> RATER =
+            SettingKeys.address("platform", "rater", "The platform's rating service.");
+
+    /** Timeout of the rating service. */
+    public static final SettingKey<Duration> RATER_TIMEOUT =
+            SettingKeys.millis(
+                    "platform", "rater-timeout-ms", 10, 60_000, 1000, "Longest wait for a rating.");
+
+    /** Pause between reads of the newest revision. */
+    public static final SettingKey<Duration> STORE_POLL =
+            SettingKeys.millis(
+                    "platform",
+                    "poll-period-ms",
+                    100,
+                    60_000,
+                    1000,
+                    "Pause between reads of the newest revision in the store.");
+
+    /** Upstreams of a version on which an entry keeps state. */
+    public static final SettingKey<Integer> SUBSET =
+            SettingKeys.number(
+                    "routing", "subset", 2, 1000, 16, "Upstreams a version that an entry uses.");
+
+    /** Retries a request. */
+    public static final SettingKey<Double> RETRY_SHARE =
+            SettingKeys.decimal(
+                    "routing", "retry-share", 0, 1, 0.1, "Retries allowed for each fresh request.");
+
+    /** Deadline of requests without a class. */
+    public static final SettingKey<Duration> DEFAULT_DEADLINE =
+            SettingKeys.millis(
+                    "routing",
+                    "default-deadline-ms",
+                    100,
+                    3_600_000,
+                    30_000,
+                    "Deadline of requests whose class sets none.");
+
+    /** Pause between bill writes. */
+    public static final SettingKey<Duration> BILL_PERIOD =
+            SettingKeys.millis(
+                    "billing", "write-period-ms", 10, 60_000, 1000, "Pause between bill writes.");
+
+    /** Most bills that are not durable. */
+    public static final SettingKey<Integer> MAX_BILLS =
+            SettingKeys.number(
+                    "billing",
+                    "max-pending",
+                    100,
+                    10_000_000,
+                    200_000,
+                    "Most bills held, for each owner, until the store has them.");
+
+    private EntryKeys() {}
+
+    /** All keys of an entry's settings. */
+    public static List<SettingKey<?>> all() {
+        List<SettingKey<?>> keys = new ArrayList<>(NodeKeys.all());
+        keys.addAll(
+                List.of(
+                        CALLER_ADDRESS,
+                        ADMIN_ADDRESS,
+                        ADMIN_KEYS,
+                        SESSION_KEY,
+                        RATER,
+                        RATER_TIMEOUT,
+                        STORE_POLL,
+                        SUBSET,
+                        RETRY_SHARE,
+                        DEFAULT_DEADLINE,
+                        BILL_PERIOD,
+                        MAX_BILLS));
+        return keys;
+    }
+
+    private static List<KeyDigest> digests(String text) {
+        return SettingKeys.words(text).stream().map(EntryKeys::digest).toList();
+    }
+
+    private static KeyDigest digest(String text) {
+        String[] parts = text.split(":", -1);
+        if (parts.length != 2) {
+            throw new IllegalArgumentException("expected salt:digest");
+        }
+        return new KeyDigest(parts[0], parts[1]);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/EntryState.java
@@ -0,0 +1,103 @@
+package org.wigeonferry.entry;
+
+import java.util.Random;
+import org.wigeonferry.core_types.Catalog;
+import org.wigeonferry.decisions.AcceptanceThreshold;
+import org.wigeonferry.decisions.AccountLimits;
+import org.wigeonferry.decisions.BillLedger;
+import org.wigeonferry.decisions.CascadePolicy;
+import org.wigeonferry.decisions.QualityTable;
+import org.wigeonferry.decisions.RetryBudget;
+import org.wigeonferry.decisions.StagePolicy;
+import org.wigeonferry.decisions.SubsetSelection;
+import org.wigeonferry.decisions.UpstreamChoices;
+import org.wigeonferry.decisions.UpstreamRouter;
+import org.wigeonferry.node_runtime.ControlState;
+import org.wigeonferry.settings.Settings;
+
+/**
+ * Control state of an entry.
+ *
+ * <p>Not thread safe; owned by the control thread.
+ */
+final class EntryState {
+    private static final double RETRY_BURST = 20;
+
+    private final ControlState shared;
+    private final UpstreamRouter router;
+    private final QualityTable quality = new QualityTable();
+    private final AcceptanceThreshold thresholds = new AcceptanceThreshold();
+    private final StagePolicy stages;
+    private final AccountLimits limits = new AccountLimits();
+    private final RetryBudget retries;
+    private final BillLedger bills;
+    private boolean stopping;
+    private Runnable whenIdle = () -> {};
+
+    EntryState(ControlState shared, Settings settings) {
+        this.shared = shared;
+        Random random = new Random(shared.identity().epoch());
+        SubsetSelection subsets =
+                new SubsetSelection(shared.identity().node(), settings.value(EntryKeys.SUBSET));
+        router = new UpstreamRouter(subsets, UpstreamChoices.betterOfTwo(random));
+        stages = CascadePolicy.policy(quality, thresholds, random);
+        retries = new RetryBudget(settings.value(EntryKeys.RETRY_SHARE), RETRY_BURST);
+        bills = new BillLedger(settings.value(EntryKeys.MAX_BILLS));
+        shared.onCatalog(this::onCatalog);
+    }
+
+    ControlState shared() {
+        return shared;
+    }
+
+    UpstreamRouter router() {
+        return router;
+    }
+
+    QualityTable quality() {
+        return quality;
+    }
+
+    AcceptanceThreshold thresholds() {
+        return thresholds;
+    }
+
+    StagePolicy stages() {
+        return stages;
+    }
+
+    AccountLimits limits() {
+        return limits;
+    }
+
+    RetryBudget retries() {
+        return retries;
+    }
+
+    BillLedger bills() {
+        return bills;
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    /** Admits nothing from now on; runs the action once no request is in flight. */
+    void stopWhenIdle(Runnable action) {
+        stopping = true;
+        whenIdle = action;
+        checkIdle();
+    }
+
+    /** Looks whether a stop may go on; call after a request left. */
+    void checkIdle() {
+        if (stopping && limits.total() == 0) {
+            whenIdle.run();
+        }
+    }
+
+    private void onCatalog(Catalog catalog) {
+        router.onCatalog(catalog);
+        thresholds.retain(catalog.classes().keySet());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/Readiness.java
@@ -0,0 +1,72 @@
+package org.wigeonferry.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.node_runtime.ApiError;
+import org.wigeonferry.node_runtime.ControlState;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Replies;
+import org.wigeonferry.platform_clients.JsonCalls;
+
+/**
+ * Serves {@code GET /ready}: whether the balancer may send callers here.
+ *
+ * <p>With {@code ?wait=true} the reply comes once the process is ready. Invariant: at most {@link
+ * #MAX_WAITING} replies wait. Thread safe; its list is touched on the control thread only.
+ */
+final class Readiness {
+    /** Most replies that wait. */
+    static final int MAX_WAITING = 64;
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final ControlThread control;
+    private final ControlState state;
+    private final List<Runnable> waiting = new ArrayList<>();
+    private volatile boolean stopping;
+
+    Readiness(ControlThread control, ControlState state) {
+        this.control = control;
+        this.state = state;
+        state.onCatalog(catalog -> release());
+    }
+
+    void onStopping() {
+        stopping = true;
+    }
+
+    void serve(Request request, Response response, Callback callback) {
+        boolean wait = "true".equals(Request.extractQueryParameters(request).getValue("wait"));
+        control.run(
+                () -> {
+                    if (wait && !configured() && waiting.size() < MAX_WAITING) {
+                        waiting.add(() -> reply(response, callback));
+                        return;
+                    }
+                    reply(response, callback);
+                });
+    }
+
+    private void release() {
+        waiting.forEach(Runnable::run);
+        waiting.clear();
+    }
+
+    private boolean configured() {
+        return !state.catalog().revision().equals(Revision.NONE);
+    }
+
+    private void reply(Response response, Callback callback) {
+        if (configured() && !stopping) {
+            Replies.json(response, callback, OK, JsonCalls.object().put("ready", true));
+            return;
+        }
+        Replies.error(
+                response, callback, new ApiError(UNAVAILABLE, "not_ready", true, "not ready"));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
@@ -0,0 +1,189 @@
+package org.wigeonferry.entry;
+
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wigeonferry.core_types.Bill;
+import org.wigeonferry.core_types.Catalog;
+import org.wigeonferry.core_types.ClientAccount;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.RefusalReason;
+import org.wigeonferry.core_types.RequestId;
+import org.wigeonferry.core_types.ServiceId;
+import org.wigeonferry.messages.gen.EndMessage;
+import org.wigeonferry.node_runtime.ApiError;
+import org.wigeonferry.node_runtime.Bodies;
+import org.wigeonferry.node_runtime.Replies;
+
+/**
+ * Serves {@code /v1/services/SERVICE/OPERATION}: {@code GET} for idempotent look-ups, {@code POST}
+ * for calls that run at most once and need an idempotency key.
+ *
+ * <p>Thread safe.
+ */
+final class ServiceEndpoint {
+    static final String PREFIX = "/v1/services/";
+
+    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final long CALL_COST_MICROS = 1000;
+
+    private final EntryRuntime runtime;
+    private final CallReader reader;
+
+    ServiceEndpoint(EntryRuntime runtime, CallReader reader) {
+        this.runtime = runtime;
+        this.reader = reader;
+    }
+
+    void serve(Request request, Response response, Callback callback) {
+        Catalog catalog = runtime.state().shared().catalog();
+        Optional<ClientAccount> account = Authenticator.account(request, catalog);
+        if (account.isEmpty()) {
+            Replies.error(response, callback, Errors.unauthorized());
+            return;
+        }
+        Bodies.read(request, MAX_BODY_BYTES)
+                .whenComplete(
+                        (body, failure) -> {
+                            if (failure != null) {
+                                Replies.error(
+                                        response,
+                                        callback,
+                                        Errors.badRequest(failure.getMessage()));
+                                return;
+                            }
+                            try {
+                                onBody(request, account.get(), catalog, body, response, callback);
+                            } catch (IllegalArgumentException e) {
+                                Replies.error(
+                                        response, callback, Errors.badRequest(e.getMessage()));
+                            }
+                        });
+    }
+
+    private void onBody(
+            Request request,
+            ClientAccount account,
+            Catalog catalog,
+            byte[] body,
+            Response response,
+            Callback callback) {
+        String path = Request.getPathInContext(request).substring(PREFIX.length());
+        String[] parts = path.split("/", 2);
+        if (parts.length < 2 || parts[1].isEmpty()) {
+            throw new IllegalArgumentException("expected " + PREFIX + "SERVICE/OPERATION");
+        }
+        ServiceId service = new ServiceId(parts[0]);
+        Call call = reader.read(request, account, catalog, Optional.of(parts[0]), body);
+        Optional<Refusal> refusal = check(request, account, service, call);
+        if (refusal.isPresent()) {
+            Replies.error(response, callback, Errors.notRun(refusal.get()));
+            return;
+        }
+        AttemptTarget target = AttemptTarget.service(service, request.getMethod() + " " + parts[1]);
+        CallAdmission.enter(
+                call,
+                runtime,
+                () -> run(call, target, response, callback),
+                error -> Replies.error(response, callback, error));
+    }
+
+    private static Optional<Refusal> check(
+            Request request, ClientAccount account, ServiceId service, Call call) {
+        if (!account.services().contains(service)) {
+            return Optional.of(
+                    Refusal.of(RefusalReason.NOT_ALLOWED, "account may not call " + service));
+        }
+        boolean repeatable = request.getMethod().equals("GET");
+        if (!repeatable && call.idempotencyKey().isEmpty()) {
+            return Optional.of(
+                    Refusal.of(RefusalReason.KEY_MISSING, "call needs " + Headers.IDEMPOTENCY_KEY));
+        }
+        return Optional.empty();
+    }
+
+    private void run(Call call, AttemptTarget target, Response response, Callback callback) {
+        CollectedAnswer answer = new CollectedAnswer();
+        runtime.state().retries().onRequest();
+        new Attempts(call, target, 0, runtime, answer)
+                .begin()
+                .thenAccept(result -> onEnd(call, target, result, answer, response, callback));
+    }
+
+    private void onEnd(
+            Call call,
+            AttemptTarget target,
+            AttemptResult result,
+            CollectedAnswer answer,
+            Response response,
+            Callback callback) {
+        if (!(result instanceof AttemptFinished finished)) {
+            leave(call);
+            Replies.error(response, callback, error(result));
+            return;
+        }
+        runtime.bills()
+                .secure(bill(call, target))
+                .thenAccept(
+                        secured -> {
+                            leave(call);
+                            if (!secured) {
+                                Replies.error(
+                                        response,
+                                        callback,
+                                        Errors.unknown("bill could not be secured"));
+                                return;
+                            }
+                            reply(call, finished.end(), answer, response, callback);
+                        });
+    }
+
+    private static void reply(
+            Call call,
+            EndMessage end,
+            CollectedAnswer answer,
+            Response response,
+            Callback callback) {
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.getHeaders().put(Headers.REQUEST_ID, call.requestId().value());
+        response.getHeaders().put(Headers.STORED, Boolean.toString(end.isStored()));
+        Replies.bytes(response, callback, end.getStatus(), answer.bytes());
+    }
+
+    /** A call that may not be repeated is billed under its key, however often it is sent. */
+    private static Bill bill(Call call, AttemptTarget target) {
+        String service = target.service().map(Object::toString).orElse("");
+        RequestId id =
+                call.idempotencyKey()
+                        .map(key -> new RequestId(service + ":" + key))
+                        .orElse(call.requestId());
+        return Bill.builder()
+                .account(call.account().id())
+                .requestId(id)
+                .target(service)
+                .costMicros(CALL_COST_MICROS)
+                .build();
+    }
+
+    private static ApiError error(AttemptResult result) {
+        if (result instanceof AttemptRefused refused) {
+            return Errors.notRun(refused.refusal());
+        }
+        return Errors.unknown(result instanceof AttemptFailed failed ? failed.detail() : "");
+    }
+
+    private void leave(Call call) {
+        java.time.Duration latency =
+                java.time.Duration.ofNanos(System.nanoTime() - call.arrivedNanos());
+        runtime.metrics().time("latency", "account", call.account().id().value(), latency);
+        runtime.metrics().time("latency", "class", call.requestClass().value(), latency);
+        runtime.control()
+                .run(
+                        () -> {
+                            runtime.state().limits().leave(call.account().id());
+                            runtime.state().checkIdle();
+                        });
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/StorePoller.java
@@ -0,0 +1,110 @@
+package org.wigeonferry.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.wigeonferry.core_types.CommittedNote;
+import org.wigeonferry.core_types.ReadResult;
+import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.core_types.ScanResult;
+import org.wigeonferry.node_runtime.ControlState;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.platform_clients.TableService;
+
+/**
+ * Reads the newest revision from the table service now and then.
+ *
+ * <p>The store counts as heard only once this process holds the revision that the store named.
+ * Thread safe; state is touched on the control thread only.
+ */
+final class StorePoller {
+    private static final int MAX_NOTES = 100;
+
+    private final ControlThread control;
+    private final ControlState state;
+    private final TableService table;
+
+    StorePoller(ControlThread control, ControlState state, TableService table) {
+        this.control = control;
+        this.state = state;
+        this.table = table;
+    }
+
+    /** Begins to poll. */
+    void start(Duration period) {
+        poll();
+        control.every(period, this::poll);
+    }
+
+    /** Catches up with the store now; false if the store did not answer. */
+    CompletableFuture<Boolean> poll() {
+        long asked = System.nanoTime();
+        return table.read(ConfigRows.HEAD)
+                .thenCompose(
+                        read -> control.ask(() -> onHead(read, asked)).thenCompose(done -> done));
+    }
+
+    private CompletableFuture<Boolean> onHead(ReadResult read, long asked) {
+        if (!read.answered()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        Revision head = read.row().map(ConfigRows::revision).orElse(Revision.NONE);
+        return catchUp(head, asked);
+    }
+
+    private CompletableFuture<Boolean> catchUp(Revision head, long asked) {
+        Revision own = state.catalog().revision();
+        if (!own.isBefore(head)) {
+            state.freshness().onStore(asked);
+            return CompletableFuture.completedFuture(true);
+        }
+        if (own.equals(Revision.NONE)) {
+            return readSnapshot()
+                    .thenCompose(risen -> control.ask(() -> scan(head, asked)).thenCompose(d -> d));
+        }
+        return scan(head, asked);
+    }
+
+    private CompletableFuture<Boolean> readSnapshot() {
+        return table.read(ConfigRows.SNAPSHOT)
+                .thenCompose(
+                        read ->
+                                control.ask(
+                                        () ->
+                                                read.row()
+                                                        .map(
+                                                                row ->
+                                                                        state.offer(
+                                                                                List.of(
+                                                                                        ConfigRows
+                                                                                                .committed(
+                                                                                                        row,
+                                                                                                        true))))
+                                                        .orElse(false)));
+    }
+
+    private CompletableFuture<Boolean> scan(Revision head, long asked) {
+        Revision own = state.catalog().revision();
+        return table.scan(ConfigRows.NOTES, ConfigRows.noteKey(own), MAX_NOTES)
+                .thenCompose(
+                        result ->
+                                control.ask(() -> onNotes(result, head, asked))
+                                        .thenCompose(done -> done));
+    }
+
+    private CompletableFuture<Boolean> onNotes(ScanResult result, Revision head, long asked) {
+        if (!result.answered()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        List<CommittedNote> notes =
+                result.rows().stream().map(row -> ConfigRows.committed(row, false)).toList();
+        Revision before = state.catalog().revision();
+        state.offer(notes);
+        boolean stuck = before.equals(state.catalog().revision());
+        boolean behind = state.catalog().revision().isBefore(head);
+        if (stuck && behind) {
+            return CompletableFuture.completedFuture(false);
+        }
+        return catchUp(head, asked);
+    }
+}
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanger.java
@@ -0,0 +1,153 @@
+package org.wigeonferry.node_runtime;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.NodeId;
+import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.decisions.Peer;
+import org.wigeonferry.messages.Codec;
+import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.messages.gen.ExchangeMessage;
+
+/**
+ * Exchanges news with peers: one at a time in a steady pace, and several at once on urgent news.
+ *
+ * <p>State is touched on the control thread only; I/O is asynchronous. Thread safe.
+ */
+public final class Exchanger {
+    /** Path of the exchange on the peer port. */
+    public static final String PATH = "/peer/exchange";
+
+    private static final Logger LOG = LoggerFactory.getLogger(Exchanger.class);
+    private static final int URGENT_FANOUT = 6;
+
+    /** One exchange in so many goes to a seed, so that views that drifted apart meet again. */
+    private static final int SEED_EVERY = 8;
+
+    private final ControlThread control;
+    private final ControlState state;
+    private final PeerCalls calls;
+    private final List<HostAddress> seeds;
+    private final Duration timeout;
+    private final Random random = new Random();
+    private int sent;
+
+    /** Exchanges by way of {@code calls}; each waits at most {@code timeout}. */
+    public Exchanger(
+            ControlThread control,
+            ControlState state,
+            PeerCalls calls,
+            List<HostAddress> seeds,
+            Duration timeout) {
+        this.control = control;
+        this.state = state;
+        this.calls = calls;
+        this.seeds =
+                seeds.stream().filter(seed -> !seed.equals(state.identity().address())).toList();
+        this.timeout = timeout;
+    }
+
+    /** Begins the steady pace. */
+    public void start(Duration period) {
+        control.run(this::exchangeWithOne);
+        control.every(period, this::exchangeWithOne);
+    }
+
+    /** Answers a peer's message. */
+    public CompletableFuture<byte[]> answer(byte[] body) {
+        return control.ask(() -> answerOnControl(body));
+    }
+
+    /** Tells several peers at once; call on the control thread. */
+    public void tellUrgently() {
+        long now = System.nanoTime();
+        state.peers().sample(URGENT_FANOUT, now).forEach(this::exchange);
+    }
+
+    /** Exchanges with the process at an address; call on the control thread. */
+    public CompletableFuture<Boolean> exchange(HostAddress address) {
+        return send(address, Optional.empty(), Revision.NONE);
+    }
+
+    private void exchangeWithOne() {
+        sent++;
+        Optional<Peer> peer = state.peers().pick(p -> true, System.nanoTime());
+        boolean seedsTurn = sent % SEED_EVERY == 0 && !seeds.isEmpty();
+        if (peer.isPresent() && !seedsTurn) {
+            exchange(peer.get());
+            return;
+        }
+        if (!seeds.isEmpty()) {
+            exchange(seeds.get(random.nextInt(seeds.size())));
+        }
+    }
+
+    private void exchange(Peer peer) {
+        Revision held =
+                state.holders(System.nanoTime(), timeout.multipliedBy(HOLDER_AGE_TIMEOUTS)).stream()
+                        .filter(holder -> holder.peer().node().equals(peer.node()))
+                        .map(holder -> holder.revision())
+                        .findFirst()
+                        .orElse(state.catalog().revision());
+        send(peer.address(), Optional.of(peer.node()), held);
+    }
+
+    private static final int HOLDER_AGE_TIMEOUTS = 30;
+
+    private CompletableFuture<Boolean> send(
+            HostAddress address, Optional<NodeId> node, Revision peerRevision) {
+        long asked = System.nanoTime();
+        Revision known = node.isEmpty() ? state.catalog().revision() : peerRevision;
+        byte[] body;
+        try {
+            body = Codec.encode(Exchanges.write(state, known, asked));
+        } catch (CodecException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        return calls.call(address, PATH, body, timeout)
+                .handle(
+                        (reply, failure) ->
+                                control.ask(() -> onReply(address, node, asked, reply, failure)))
+                .thenCompose(done -> done);
+    }
+
+    private boolean onReply(
+            HostAddress address,
+            Optional<NodeId> node,
+            long asked,
+            byte[] reply,
+            Throwable failure) {
+        if (failure != null) {
+            LOG.debug("exchange with {} failed: {}", address, failure.toString());
+            node.ifPresent(name -> state.peers().onNoAnswer(name, asked));
+            return false;
+        }
+        try {
+            ExchangeMessage message = Codec.decode(reply, new ExchangeMessage());
+            Exchanges.takeOver(state, message, System.nanoTime());
+            Exchanges.countNews(state, message, asked);
+            return true;
+        } catch (CodecException e) {
+            LOG.warn("bad exchange from {}", address, e);
+            return false;
+        }
+    }
+
+    private byte[] answerOnControl(byte[] body) {
+        try {
+            ExchangeMessage message = Codec.decode(body, new ExchangeMessage());
+            long now = System.nanoTime();
+            Exchanges.takeOver(state, message, now);
+            return Codec.encode(Exchanges.write(state, new Revision(message.getRevision()), now));
+        } catch (CodecException e) {
+            throw new CompletionException(e);
+        }
+    }
+}
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanges.java
@@ -0,0 +1,151 @@
+package org.wigeonferry.node_runtime;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.wigeonferry.core_types.CommittedNote;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.NodeId;
+import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.core_types.ZoneId;
+import org.wigeonferry.decisions.Peer;
+import org.wigeonferry.decisions.Role;
+import org.wigeonferry.decisions.Suspicion;
+import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.messages.gen.ExchangeMessage;
+import org.wigeonferry.messages.gen.MemberMessage;
+import org.wigeonferry.messages.gen.NoteMessage;
+import org.wigeonferry.messages.gen.SuspicionMessage;
+import org.wigeonferry.messages.gen.ZoneAgeMessage;
+
+/**
+ * Turns control state into exchange messages and takes messages over.
+ *
+ * <p>Not thread safe; used on the control thread.
+ */
+final class Exchanges {
+    private static final int MAX_MEMBERS = 4;
+    private static final int MAX_SUSPICIONS = 16;
+
+    private Exchanges() {}
+
+    /** Writes what this process has to say to a peer that holds a revision. */
+    static ExchangeMessage write(ControlState state, Revision peerRevision, long nowNanos) {
+        ExchangeMessage message = new ExchangeMessage();
+        message.setSender(member(self(state, nowNanos), nowNanos));
+        message.setRevision(state.catalog().revision().number());
+        message.setNotes(
+                state.notesSince(peerRevision).stream().map(Exchanges::toMessage).toList());
+        message.setStoreAgeMillis(state.freshness().storeAge(nowNanos).toMillis());
+        message.setZoneAges(zoneAges(state, nowNanos));
+        message.setMembers(
+                state.peers().sample(MAX_MEMBERS, nowNanos).stream()
+                        .map(peer -> member(peer, nowNanos))
+                        .toList());
+        message.setSuspicions(suspicions(state, nowNanos));
+        message.setEvidence(List.of());
+        return message;
+    }
+
+    /** Takes over what a peer said; returns the peer. */
+    static Peer takeOver(ControlState state, ExchangeMessage message, long nowNanos)
+            throws CodecException {
+        try {
+            Peer sender = peer(message.getSender(), nowNanos);
+            state.peers().merge(sender);
+            message.getMembers().forEach(m -> state.peers().merge(peer(m, nowNanos)));
+            state.offer(message.getNotes().stream().map(Exchanges::toNote).toList());
+            message.getSuspicions()
+                    .forEach(
+                            s ->
+                                    state.suspects()
+                                            .merge(
+                                                    new Suspicion(
+                                                            s.getDigest(),
+                                                            s.isCondemned(),
+                                                            nowNanos)));
+            state.onHolder(sender, new Revision(message.getRevision()));
+            return sender;
+        } catch (IllegalArgumentException e) {
+            throw new CodecException("read exchange", e);
+        }
+    }
+
+    /** Counts the news of a reply from the moment at which the question was asked. */
+    static void countNews(ControlState state, ExchangeMessage reply, long askedNanos)
+            throws CodecException {
+        boolean behind = reply.getRevision() > state.catalog().revision().number();
+        if (behind) {
+            return;
+        }
+        try {
+            state.freshness().onStore(askedNanos - nanos(reply.getStoreAgeMillis()));
+            reply.getZoneAges()
+                    .forEach(
+                            age ->
+                                    state.freshness()
+                                            .onZone(
+                                                    new ZoneId(age.getZone()),
+                                                    askedNanos - nanos(age.getAgeMillis())));
+        } catch (IllegalArgumentException e) {
+            throw new CodecException("read exchange", e);
+        }
+    }
+
+    private static Peer self(ControlState state, long nowNanos) {
+        NodeIdentity self = state.identity();
+        return new Peer(
+                self.node(), self.role(), self.zone(), self.address(), self.epoch(), nowNanos);
+    }
+
+    private static List<ZoneAgeMessage> zoneAges(ControlState state, long nowNanos) {
+        state.freshness().onZone(state.identity().zone(), nowNanos);
+        List<ZoneAgeMessage> ages = new ArrayList<>();
+        state.freshness()
+                .zoneAges(nowNanos)
+                .forEach((zone, age) -> ages.add(new ZoneAgeMessage(zone.value(), age.toMillis())));
+        return ages;
+    }
+
+    private static List<SuspicionMessage> suspicions(ControlState state, long nowNanos) {
+        List<Suspicion> all = state.suspects().all(nowNanos);
+        return all.subList(Math.max(0, all.size() - MAX_SUSPICIONS), all.size()).stream()
+                .map(s -> new SuspicionMessage(s.digest(), s.condemned()))
+                .toList();
+    }
+
+    private static NoteMessage toMessage(CommittedNote note) {
+        return new NoteMessage(note.revision().number(), note.text(), note.snapshot());
+    }
+
+    private static CommittedNote toNote(NoteMessage message) {
+        return new CommittedNote(
+                new Revision(message.getRevision()), message.getText(), message.isSnapshot());
+    }
+
+    private static MemberMessage member(Peer peer, long nowNanos) {
+        long ageNanos = nowNanos - peer.seenNanos();
+        return new MemberMessage(
+                peer.node().value(),
+                peer.role().name().toLowerCase(Locale.ROOT),
+                peer.zone().value(),
+                peer.address().toString(),
+                peer.epoch(),
+                Duration.ofNanos(ageNanos).toMillis());
+    }
+
+    private static Peer peer(MemberMessage message, long nowNanos) {
+        return new Peer(
+                new NodeId(message.getNode()),
+                Role.valueOf(message.getRole().toUpperCase(Locale.ROOT)),
+                new ZoneId(message.getZone()),
+                HostAddress.parse(message.getAddress()),
+                message.getEpoch(),
+                nowNanos - nanos(message.getAgeMillis()));
+    }
+
+    private static long nanos(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+}
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpServers.java
@@ -0,0 +1,71 @@
+package org.wigeonferry.node_runtime;
+
+import java.time.Duration;
+import org.eclipse.jetty.http2.RateControl;
+import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.StepException;
+
+/**
+ * Starts HTTP servers with bounded headers, connections and idle time.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class HttpServers {
+    private static final int MAX_HEADER_BYTES = 16 << 10;
+    private static final int MAX_STREAMS = 4096;
+    private static final int ACCEPTORS = 1;
+    private static final int SELECTORS = 2;
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+    private HttpServers() {}
+
+    /** Starts a server of HTTP/1.1 and, without TLS, of HTTP/2. */
+    public static Server start(String name, HostAddress address, Handler handler)
+            throws StepException {
+        QueuedThreadPool threads = new QueuedThreadPool(Threads.MAX, Threads.MIN);
+        threads.setName(name);
+        threads.setDaemon(true);
+        Server server = new Server(threads);
+        server.addConnector(connector(server, address));
+        server.setHandler(handler);
+        server.setStopTimeout(0);
+        try {
+            server.start();
+        } catch (Exception e) {
+            throw new StepException("start HTTP server " + name, address.toString(), e);
+        }
+        return server;
+    }
+
+    /** The port a server listens on. */
+    public static int port(Server server) {
+        return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
+    }
+
+    private static ServerConnector connector(Server server, HostAddress address) {
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setRequestHeaderSize(MAX_HEADER_BYTES);
+        configuration.setSendServerVersion(false);
+        HTTP2CServerConnectionFactory http2 = new HTTP2CServerConnectionFactory(configuration);
+        http2.setMaxConcurrentStreams(MAX_STREAMS);
+        http2.setRateControlFactory(new RateControl.Factory() {});
+        ServerConnector connector =
+                new ServerConnector(
+                        server,
+                        ACCEPTORS,
+                        SELECTORS,
+                        new HttpConnectionFactory(configuration),
+                        http2);
+        connector.setHost(address.host());
+        connector.setPort(address.port());
+        connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
+        return connector;
+    }
+}
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/MetricsEndpoints.java
@@ -0,0 +1,86 @@
+package org.wigeonferry.node_runtime;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import org.wigeonferry.platform_clients.JsonCalls;
+
+/**
+ * Shows metrics to people as JSON and to scrapers as text.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class MetricsEndpoints {
+    private static final int OK = 200;
+    private static final double[] QUANTILES = {0.5, 0.95, 0.99};
+
+    private MetricsEndpoints() {}
+
+    /** Serves JSON. */
+    public static Endpoint json(MetricRegistry registry) {
+        return (request, response, callback) ->
+                Replies.json(response, callback, OK, toJson(registry));
+    }
+
+    /** Serves the text format of scrapers. */
+    public static Endpoint text(MetricRegistry registry) {
+        return (request, response, callback) -> Replies.text(response, callback, toText(registry));
+    }
+
+    /** All metrics as JSON. */
+    public static ObjectNode toJson(MetricRegistry registry) {
+        ObjectNode json = JsonCalls.object();
+        registry.getCounters().forEach((name, counter) -> json.put(name, counter.getCount()));
+        registry.getHistograms().forEach((name, h) -> add(json.putObject(name), h));
+        return json;
+    }
+
+    /** All metrics as text. */
+    public static String toText(MetricRegistry registry) {
+        StringBuilder text = new StringBuilder();
+        registry.getCounters().forEach((name, counter) -> add(text, name, counter));
+        registry.getHistograms().forEach((name, histogram) -> add(text, name, histogram));
+        return text.toString();
+    }
+
+    private static void add(ObjectNode json, Histogram histogram) {
+        Snapshot snapshot = histogram.getSnapshot();
+        json.put("count", histogram.getCount());
+        json.put("mean", snapshot.getMean());
+        json.put("p50", snapshot.getMedian());
+        json.put("p95", snapshot.get95thPercentile());
+        json.put("p99", snapshot.get99thPercentile());
+        json.put("max", snapshot.getMax());
+    }
+
+    private static void add(StringBuilder text, String name, Counter counter) {
+        text.append(metric(name)).append(labels(name, "")).append(' ');
+        text.append(counter.getCount()).append('\n');
+    }
+
+    private static void add(StringBuilder text, String name, Histogram histogram) {
+        Snapshot snapshot = histogram.getSnapshot();
+        for (double quantile : QUANTILES) {
+            String extra = String.format(Locale.ROOT, "quantile=\"%s\"", quantile);
+            text.append(metric(name)).append(labels(name, extra)).append(' ');
+            text.append(snapshot.getValue(quantile)).append('\n');
+        }
+        text.append(metric(name)).append("_count").append(labels(name, "")).append(' ');
+        text.append(histogram.getCount()).append('\n');
+    }
+
+    private static String metric(String name) {
+        int end = name.indexOf('|');
+        return "wigeonferry_" + (end < 0 ? name : name.substring(0, end));
+    }
+
+    private static String labels(String name, String extra) {
+        String[] parts = name.split("\\|", 3);
+        String own = parts.length == 3 ? parts[1] + "=\"" + parts[2] + "\"" : "";
+        String both = own.isEmpty() || extra.isEmpty() ? own + extra : own + "," + extra;
+        return both.isEmpty() ? "" : "{" + both + "}";
+    }
+}
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/PeerCalls.java
@@ -0,0 +1,62 @@
+package org.wigeonferry.node_runtime;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+import org.wigeonferry.core_types.HostAddress;
+
+/**
+ * Calls other processes of this system.
+ *
+ * <p>Immutable and thread safe.
+ */
+public final class PeerCalls {
+    /** Header that carries the secret of this system's processes. */
+    public static final String KEY_HEADER = "X-Wigeonferry-Peer-Key";
+
+    /** Type of the bodies: Thrift's compact protocol. */
+    public static final String CONTENT_TYPE = "application/x-thrift";
+
+    private static final int OK = 200;
+    private static final int MAX_REPLY_BYTES = 8 << 20;
+
+    private final HttpClient client;
+    private final String key;
+
+    /** Calls by a client of HTTP/2 with the shared secret. */
+    public PeerCalls(HttpClient client, String key) {
+        this.client = client;
+        this.key = key;
+    }
+
+    /** A request with a body; the caller sends it. */
+    public Request request(HostAddress peer, String path, byte[] body, Duration timeout) {
+        return client.newRequest("http://" + peer + path)
+                .method(HttpMethod.POST)
+                .headers(fields -> fields.put(KEY_HEADER, key))
+                .body(new BytesRequestContent(CONTENT_TYPE, body))
+                .timeout(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends a body and receives the whole reply; fails without a reply of status 200. */
+    public CompletableFuture<byte[]> call(
+            HostAddress peer, String path, byte[] body, Duration timeout) {
+        Request request = request(peer, path, body, timeout);
+        return new CompletableResponseListener(request, MAX_REPLY_BYTES)
+                .send()
+                .thenApply(reply -> content(peer, reply));
+    }
+
+    private static byte[] content(HostAddress peer, ContentResponse reply) {
+        if (reply.getStatus() != OK) {
+            throw new IllegalStateException(peer + " replied with status " + reply.getStatus());
+        }
+        return reply.getContent();
+    }
+}
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Replies.java
@@ -0,0 +1,59 @@
+package org.wigeonferry.node_runtime;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wigeonferry.platform_clients.JsonCalls;
+
+/**
+ * Writes whole replies.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class Replies {
+    private static final int OK = 200;
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private Replies() {}
+
+    /** Replies with JSON. */
+    public static void json(Response response, Callback callback, int status, JsonNode body) {
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        bytes(response, callback, status, body.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Replies with plain text. */
+    public static void text(Response response, Callback callback, String body) {
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
+        bytes(response, callback, OK, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Replies with bytes. */
+    public static void bytes(Response response, Callback callback, int status, byte[] body) {
+        response.setStatus(status);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    /** Replies with an error. */
+    public static void error(Response response, Callback callback, ApiError error) {
+        if (!error.retryAfter().isZero()) {
+            long seconds = Math.max(1, error.retryAfter().toMillis() / MILLIS_PER_SECOND);
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, Long.toString(seconds));
+        }
+        json(response, callback, error.status(), toJson(error));
+    }
+
+    /** The JSON form of an error. */
+    public static ObjectNode toJson(ApiError error) {
+        ObjectNode body = JsonCalls.object();
+        body.putObject("error")
+                .put("type", error.code())
+                .put("message", error.message())
+                .put("not_run", error.notRun());
+        return body;
+    }
+}
--- /dev/null
+++ b/platform_clients/src/main/java/org/wigeonferry/platform_clients/JsonCalls.java
@@ -0,0 +1,96 @@
+package org.wigeonferry.platform_clients;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpMethod;
+import org.wigeonferry.core_types.HostAddress;
+
+/**
+ * Calls a service that speaks JSON over HTTP.
+ *
+ * <p>Every call is sent once. The futures fail when no answer came in time. Immutable and thread
+ * safe.
+ */
+public final class JsonCalls {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_REPLY_BYTES = 8 << 20;
+
+    private final HttpClient client;
+    private final HostAddress address;
+    private final Duration timeout;
+    private final Map<String, String> headers;
+
+    /** Calls the service at an address; each call gives up after the timeout. */
+    public JsonCalls(HttpClient client, HostAddress address, Duration timeout) {
+        this(client, address, timeout, Map.of());
+    }
+
+    private JsonCalls(
+            HttpClient client, HostAddress address, Duration timeout, Map<String, String> headers) {
+        this.client = client;
+        this.address = address;
+        this.timeout = timeout;
+        this.headers = Map.copyOf(headers);
+    }
+
+    /** The same calls with these headers on each. */
+    public JsonCalls withHeaders(Map<String, String> value) {
+        return new JsonCalls(client, address, timeout, value);
+    }
+
+    /** A new JSON object. */
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /** Parses JSON; a missing node if the text isn't JSON. */
+    public static JsonNode parse(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    /** Sends a JSON body. */
+    public CompletableFuture<JsonReply> post(String path, JsonNode body) {
+        StringRequestContent content =
+                new StringRequestContent(
+                        "application/json", body.toString(), StandardCharsets.UTF_8);
+        return send(request(path).method(HttpMethod.POST).body(content));
+    }
+
+    /** Asks without a body. */
+    public CompletableFuture<JsonReply> fetch(String path) {
+        return send(request(path).method(HttpMethod.GET));
+    }
+
+    private Request request(String path) {
+        Request request = client.newRequest("http://" + address + path);
+        headers.forEach((name, value) -> request.headers(fields -> fields.put(name, value)));
+        return request.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private static CompletableFuture<JsonReply> send(Request request) {
+        return new CompletableResponseListener(request, MAX_REPLY_BYTES)
+                .send()
+                .thenApply(JsonCalls::toReply);
+    }
+
+    private static JsonReply toReply(ContentResponse response) {
+        return new JsonReply(response.getStatus(), parse(response.getContentAsString()));
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wigeonferry/settings/DrainSection.java
@@ -0,0 +1,27 @@
+package org.wigeonferry.settings;
+
+import org.wigeonferry.core_types.Upstream;
+import org.wigeonferry.core_types.UpstreamId;
+
+/**
+ * Reads {@code [drain NAME]}: the upstream is leaving and receives no new work.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class DrainSection {
+    private DrainSection() {}
+
+    static SectionReader reader() {
+        return section -> {
+            section.allow();
+            UpstreamId id = section.named("an upstream name", UpstreamId::new);
+            return draft -> {
+                Upstream known = draft.upstreams().get(id);
+                if (known == null) {
+                    throw section.error("no such upstream");
+                }
+                draft.upstreams().put(id, known.toBuilder().leaving(true).build());
+            };
+        };
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wigeonferry/settings/NoteValues.java
@@ -0,0 +1,61 @@
+package org.wigeonferry.settings;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.wigeonferry.core_types.KeyDigest;
+
+/**
+ * Reads values of release notes.
+ *
+ * <p>Every method throws {@link IllegalArgumentException} on a bad value. Stateless and thread
+ * safe.
+ */
+final class NoteValues {
+    private static final int MAX_OPERATION_LENGTH = 128;
+
+    private NoteValues() {}
+
+    static String operation(String text) {
+        if (!text.matches("[A-Za-z0-9._:-]+") || text.length() > MAX_OPERATION_LENGTH) {
+            throw new IllegalArgumentException("bad operation name");
+        }
+        return text;
+    }
+
+    static <T> Set<T> names(String text, Function<String, T> parser) {
+        return SettingKeys.words(text).stream().map(parser).collect(Collectors.toUnmodifiableSet());
+    }
+
+    static List<KeyDigest> digests(String text) {
+        return SettingKeys.words(text).stream().map(NoteValues::digest).toList();
+    }
+
+    static KeyDigest digest(String text) {
+        String[] parts = text.split(":", -1);
+        if (parts.length != 2
+                || !parts[0].matches("[0-9a-f]+")
+                || !parts[1].matches("[0-9a-f]{64}")) {
+            throw new IllegalArgumentException("bad key digest");
+        }
+        return new KeyDigest(parts[0], parts[1]);
+    }
+
+    static boolean flag(String text) {
+        if (!text.equals("true") && !text.equals("false")) {
+            throw new IllegalArgumentException("neither true nor false");
+        }
+        return text.equals("true");
+    }
+
+    static <T> T oneOf(String text, String first, T firstValue, String second, T secondValue) {
+        if (text.equals(first)) {
+            return firstValue;
+        }
+        if (text.equals(second)) {
+            return secondValue;
+        }
+        throw new IllegalArgumentException("neither " + first + " nor " + second);
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wigeonferry/settings/ReleaseNoteParser.java
@@ -0,0 +1,93 @@
+package org.wigeonferry.settings;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ini4j.Ini;
+import org.ini4j.Profile;
+import org.wigeonferry.core_types.Change;
+import org.wigeonferry.core_types.ReleaseNote;
+import org.wigeonferry.core_types.ReleaseNoteException;
+import org.wigeonferry.core_types.Revision;
+
+/**
+ * Reads release notes.
+ *
+ * <p>The same text gives the same changes on every process. Stateless and thread safe.
+ */
+public final class ReleaseNoteParser {
+    /** Longest note in characters. */
+    public static final int MAX_LENGTH = 1 << 20;
+
+    private static final String HEAD = "note";
+    private static final Map<String, SectionReader> READERS =
+            Map.of(
+                    "version", VersionSection.reader(),
+                    "withdraw", WithdrawSection.reader(),
+                    "account", AccountSection.reader(),
+                    "class", ClassSection.reader(),
+                    "upstream", UpstreamSection.reader(),
+                    "remove", RemoveSection.reader(),
+                    "zone", ZoneSection.reader(),
+                    "drain", DrainSection.reader());
+
+    private ReleaseNoteParser() {}
+
+    /** Parses a note; every section must be known. */
+    public static ReleaseNote parse(String text) throws ReleaseNoteException {
+        if (text.length() > MAX_LENGTH) {
+            throw new ReleaseNoteException(HEAD, "longer than " + MAX_LENGTH + " characters");
+        }
+        Ini ini = load(text);
+        Profile.Section head = ini.get(HEAD);
+        if (head == null) {
+            throw new ReleaseNoteException(HEAD, "missing section");
+        }
+        NoteSection note = new NoteSection(head, HEAD);
+        note.allow("operation", "author", "reason", "base");
+        Optional<Revision> base =
+                note.value("base", "a revision", s -> new Revision(Long.parseLong(s)));
+        return ReleaseNote.builder()
+                .operation(note.required("operation", "a unique name", NoteValues::operation))
+                .author(note.text("author").orElse(""))
+                .reason(note.text("reason").orElse(""))
+                .base(base)
+                .changes(changes(ini))
+                .text(text)
+                .build();
+    }
+
+    private static Ini load(String text) throws ReleaseNoteException {
+        Ini ini;
+        try {
+            ini = IniTexts.parse(text);
+        } catch (IOException e) {
+            throw new ReleaseNoteException(HEAD, "not an INI file: " + e.getMessage());
+        }
+        List<String> repeats = IniTexts.repeats(ini);
+        if (!repeats.isEmpty()) {
+            throw new ReleaseNoteException(HEAD, String.join("; ", repeats));
+        }
+        return ini;
+    }
+
+    private static List<Change> changes(Ini ini) throws ReleaseNoteException {
+        List<Change> changes = new ArrayList<>();
+        for (Profile.Section section : ini.values()) {
+            if (section.getName().equals(HEAD)) {
+                continue;
+            }
+            String[] words = section.getName().split(" ", 2);
+            SectionReader reader = READERS.get(words[0]);
+            if (reader == null || words.length < 2) {
+                throw new ReleaseNoteException(
+                        section.getName(),
+                        "expected a kind of " + READERS.keySet() + " and a name");
+            }
+            changes.add(reader.read(new NoteSection(section, words[1].strip())));
+        }
+        return changes;
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wigeonferry/settings/UpstreamSection.java
@@ -0,0 +1,53 @@
+package org.wigeonferry.settings;
+
+import java.util.Optional;
+import java.util.Set;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.ServiceId;
+import org.wigeonferry.core_types.Upstream;
+import org.wigeonferry.core_types.UpstreamBuilder;
+import org.wigeonferry.core_types.UpstreamId;
+import org.wigeonferry.core_types.VersionId;
+import org.wigeonferry.core_types.ZoneId;
+
+/**
+ * Reads {@code [upstream NAME]}: adds an upstream or changes the fields it names.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class UpstreamSection {
+    private UpstreamSection() {}
+
+    static SectionReader reader() {
+        return section -> {
+            section.allow("zone", "agent", "versions", "services", "max-concurrent", "leaving");
+            UpstreamId id = section.named("an upstream name", UpstreamId::new);
+            Optional<ZoneId> zone = section.value("zone", "a zone name", ZoneId::new);
+            Optional<HostAddress> agent = section.value("agent", "host:port", HostAddress::parse);
+            Optional<Set<VersionId>> versions =
+                    section.value(
+                            "versions", "names", text -> NoteValues.names(text, VersionId::new));
+            Optional<Set<ServiceId>> services =
+                    section.value(
+                            "services", "names", text -> NoteValues.names(text, ServiceId::new));
+            Optional<Integer> maxConcurrent =
+                    section.value("max-concurrent", "a whole number", Integer::parseInt);
+            Optional<Boolean> leaving = section.value("leaving", "true or false", NoteValues::flag);
+            return draft -> {
+                Upstream known = draft.upstreams().get(id);
+                if (known == null && (zone.isEmpty() || agent.isEmpty())) {
+                    throw section.error("a new upstream needs zone and agent");
+                }
+                UpstreamBuilder builder =
+                        known == null ? Upstream.builder().id(id) : known.toBuilder();
+                zone.ifPresent(builder::zone);
+                agent.ifPresent(builder::agentAddress);
+                versions.ifPresent(builder::versions);
+                services.ifPresent(builder::services);
+                maxConcurrent.ifPresent(builder::maxConcurrent);
+                leaving.ifPresent(builder::leaving);
+                draft.upstreams().put(id, Built.of(section, builder::build));
+            };
+        };
+    }
+}
