Give up streams whose caller went away, keep unsendable orders out of the count

A streamed answer went on to run after its caller had gone; an order that the HTTP client refused to build stayed counted in the gate for ever; a call with less than a millisecond left had no timeout at all (zero switches it off).

Ruled out: draining the stream to its end, which costs tokens nobody reads.

Change: the listener's callback cancels the attempt; the order's runner is guarded; timeouts are at least a millisecond; names of operations are checked; a condemned request is told to peers before its caller is.

--- a/agent/src/main/java/org/wigeonferry/agent/ModelRunner.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ModelRunner.java
@@ -63,6 +63,6 @@
                             fields.put("X-Resume-Offset", message.getResumeOffset());
                         })
                 .body(new BytesRequestContent("application/json", message.getBody()))
-                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+                .timeout(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
     }
 }
--- a/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
+++ b/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
@@ -15,6 +15,7 @@
 import org.wigeonferry.messages.CodecException;
 import org.wigeonferry.messages.Frames;
 import org.wigeonferry.messages.Orders;
+import org.wigeonferry.messages.gen.FailureMessage;
 import org.wigeonferry.messages.gen.OrderMessage;
 import org.wigeonferry.node_runtime.ApiError;
 import org.wigeonferry.node_runtime.Bodies;
@@ -120,7 +121,7 @@
             StartOrder order, OrderMessage message, Optional<Refusal> refusal, FrameSink sink) {
         if (refusal.isEmpty()) {
             metrics.count("orders_admitted", "account", order.account().value());
-            runner.run(order, message, sink);
+            run(order, message, sink);
             return;
         }
         metrics.count("orders_refused", "reason", refusal.get().reason().name());
@@ -136,6 +137,21 @@
                                                 load.limit())));
     }
 
+    /** Runs the order; one that the upstream's client can't even send must not stay counted. */
+    private void run(StartOrder order, OrderMessage message, FrameSink sink) {
+        try {
+            runner.run(order, message, sink);
+        } catch (RuntimeException e) {
+            LOG.warn("order could not be sent", e);
+            control.run(() -> admission.onCancelled(order));
+            FailureMessage failure = new FailureMessage();
+            failure.setStep("send to upstream");
+            failure.setPeer("upstream");
+            failure.setDetail(e.toString());
+            sink.finish(Frames.failure(order, failure.setCrashed(false).setCondemned(false)));
+        }
+    }
+
     private static void bad(Response response, Callback callback, Throwable failure) {
         LOG.warn("bad order: {}", failure.toString());
         Replies.error(
--- a/agent/src/main/java/org/wigeonferry/agent/ServiceCalls.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ServiceCalls.java
@@ -39,7 +39,7 @@
                 client.newRequest("http://" + service + "/" + operation[1])
                         .method(operation[0])
                         .headers(fields -> fields.put("X-Account", order.account().value()))
-                        .timeout(order.remaining().toMillis(), TimeUnit.MILLISECONDS);
+                        .timeout(Math.max(1, order.remaining().toMillis()), TimeUnit.MILLISECONDS);
         order.idempotencyKey()
                 .ifPresent(
                         key -> request.headers(f -> f.put("Idempotency-Key", scoped(order, key))));
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/BillLedgerTest.java
@@ -0,0 +1,78 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.AccountId;
+import org.wigeonferry.core_types.Bill;
+import org.wigeonferry.core_types.NodeId;
+import org.wigeonferry.core_types.RequestId;
+
+class BillLedgerTest {
+    private static final NodeId OWNER = new NodeId("entry-2.1");
+
+    private final BillLedger ledger = new BillLedger(3);
+
+    @Test
+    void billIsInOneWriteAtATime() {
+        ledger.add(bill("r1"));
+        assertThat(ledger.nextBatch(10)).hasSize(1);
+        assertThat(ledger.nextBatch(10)).isEmpty();
+    }
+
+    @Test
+    void unknownWriteIsTriedAgain() {
+        ledger.add(bill("r1"));
+        ledger.nextBatch(10);
+        ledger.onUnknown(List.of(bill("r1").key()));
+        assertThat(ledger.nextBatch(10)).hasSize(1);
+    }
+
+    @Test
+    void durableBillLeaves() {
+        ledger.add(bill("r1"));
+        ledger.onDurable(List.of(bill("r1").key()));
+        assertThat(ledger.pending()).isZero();
+    }
+
+    @Test
+    void resendIsOneBill() {
+        ledger.add(bill("r1"));
+        ledger.add(bill("r1"));
+        assertThat(ledger.pending()).isEqualTo(1);
+    }
+
+    @Test
+    void refusesBeyondItsCapacity() {
+        assertThat(ledger.add(bill("r1"))).isTrue();
+        assertThat(ledger.add(bill("r2"))).isTrue();
+        assertThat(ledger.add(bill("r3"))).isTrue();
+        assertThat(ledger.add(bill("r4"))).isFalse();
+    }
+
+    @Test
+    void heldBillsAreDroppedAtTheirOwnersWord() {
+        ledger.hold(OWNER, List.of(bill("r1"), bill("r2")));
+        ledger.drop(OWNER, List.of(bill("r1").key()));
+        assertThat(ledger.heldCount()).isEqualTo(1);
+        ledger.drop(OWNER, List.of(bill("r2").key()));
+        assertThat(ledger.owners()).isEmpty();
+    }
+
+    @Test
+    void billsOfALostOwnerAreWritten() {
+        ledger.hold(OWNER, List.of(bill("r1")));
+        assertThat(ledger.adopt(OWNER)).isEqualTo(1);
+        assertThat(ledger.nextBatch(10)).containsExactly(bill("r1"));
+        assertThat(ledger.heldCount()).isZero();
+    }
+
+    private static Bill bill(String id) {
+        return Bill.builder()
+                .account(new AccountId("palace"))
+                .requestId(new RequestId(id))
+                .target("small-1")
+                .build();
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/DeadlinePassedTest.java
@@ -0,0 +1,42 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.DEADLINE_PASSED;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.view;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Refusal;
+
+class DeadlinePassedTest {
+    @Test
+    void timeLeft() {
+        assertThat(
+                        DeadlinePassed.rule()
+                                .check(
+                                        order().remaining(Duration.ofMillis(1)).build(),
+                                        view().build()))
+                .isEmpty();
+    }
+
+    @Test
+    void noTimeLeftIsRefused() {
+        assertThat(
+                        DeadlinePassed.rule()
+                                .check(order().remaining(Duration.ZERO).build(), view().build()))
+                .map(Refusal::reason)
+                .contains(DEADLINE_PASSED);
+    }
+
+    @Test
+    void lateIsRefused() {
+        assertThat(
+                        DeadlinePassed.rule()
+                                .check(
+                                        order().remaining(Duration.ofMillis(-1)).build(),
+                                        view().build()))
+                .map(Refusal::reason)
+                .contains(DEADLINE_PASSED);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/ProcessStoppingTest.java
@@ -0,0 +1,23 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.SHUTTING_DOWN;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.view;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Refusal;
+
+class ProcessStoppingTest {
+    @Test
+    void running() {
+        assertThat(ProcessStopping.rule().check(order().build(), view().build())).isEmpty();
+    }
+
+    @Test
+    void stoppingIsRefused() {
+        assertThat(ProcessStopping.rule().check(order().build(), view().stopping(true).build()))
+                .map(Refusal::reason)
+                .contains(SHUTTING_DOWN);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/RevisionBehindTest.java
@@ -0,0 +1,56 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.REVISION_BEHIND;
+import static org.wigeonferry.decisions.GateFixtures.catalog;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.view;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.Revision;
+
+class RevisionBehindTest {
+    @Test
+    void agentIsNewer() {
+        assertThat(
+                        RevisionBehind.rule()
+                                .check(
+                                        order().revision(new Revision(1)).build(),
+                                        view().catalog(
+                                                        catalog().toBuilder()
+                                                                .revision(new Revision(2))
+                                                                .build())
+                                                .build()))
+                .isEmpty();
+    }
+
+    @Test
+    void sameRevision() {
+        assertThat(
+                        RevisionBehind.rule()
+                                .check(
+                                        order().revision(new Revision(1)).build(),
+                                        view().catalog(
+                                                        catalog().toBuilder()
+                                                                .revision(new Revision(1))
+                                                                .build())
+                                                .build()))
+                .isEmpty();
+    }
+
+    @Test
+    void orderIsNewerIsRefused() {
+        assertThat(
+                        RevisionBehind.rule()
+                                .check(
+                                        order().revision(new Revision(3)).build(),
+                                        view().catalog(
+                                                        catalog().toBuilder()
+                                                                .revision(new Revision(2))
+                                                                .build())
+                                                .build()))
+                .map(Refusal::reason)
+                .contains(REVISION_BEHIND);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/SecondSuspectTest.java
@@ -0,0 +1,51 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.SUSPECT_LIMIT;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.view;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Refusal;
+
+class SecondSuspectTest {
+    @Test
+    void firstSuspect() {
+        assertThat(
+                        SecondSuspect.rule()
+                                .check(order().build(), view().suspected(digest -> true).build()))
+                .isEmpty();
+    }
+
+    @Test
+    void innocentBesideSuspect() {
+        assertThat(
+                        SecondSuspect.rule()
+                                .check(order().build(), view().suspectInFlight(true).build()))
+                .isEmpty();
+    }
+
+    @Test
+    void secondSuspectIsRefused() {
+        assertThat(
+                        SecondSuspect.rule()
+                                .check(
+                                        order().build(),
+                                        view().suspected(digest -> true)
+                                                .suspectInFlight(true)
+                                                .build()))
+                .map(Refusal::reason)
+                .contains(SUSPECT_LIMIT);
+    }
+
+    @Test
+    void senderSuspectsIsRefused() {
+        assertThat(
+                        SecondSuspect.rule()
+                                .check(
+                                        order().suspect(true).build(),
+                                        view().suspectInFlight(true).build()))
+                .map(Refusal::reason)
+                .contains(SUSPECT_LIMIT);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/StartOnceTest.java
@@ -0,0 +1,55 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.WriteOutcome;
+
+class StartOnceTest {
+    private static final String OWN = "agent-1/1";
+    private static final String OTHER = "agent-2/1";
+
+    @Test
+    void onlyAKnownWriteRunsAtOnce() {
+        assertThat(StartOnce.afterWrite(WriteOutcome.APPLIED)).isEqualTo(StartOnceStep.RUN);
+        assertThat(StartOnce.afterWrite(WriteOutcome.REFUSED)).isEqualTo(StartOnceStep.READ_BACK);
+        assertThat(StartOnce.afterWrite(WriteOutcome.UNKNOWN)).isEqualTo(StartOnceStep.READ_BACK);
+    }
+
+    @Test
+    void ownRowRuns() {
+        assertThat(read(OWN, "d", StartState.STARTED)).isEqualTo(StartOnceStep.RUN);
+    }
+
+    @Test
+    void rowOfAnotherAttemptDoesNotRun() {
+        assertThat(read(OTHER, "d", StartState.STARTED)).isEqualTo(StartOnceStep.REPORT_UNKNOWN);
+    }
+
+    @Test
+    void finishedRowGivesItsAnswer() {
+        assertThat(read(OTHER, "d", StartState.FINISHED)).isEqualTo(StartOnceStep.RETURN_STORED);
+    }
+
+    @Test
+    void abandonedRowIsTakenOver() {
+        assertThat(read(OTHER, "d", StartState.ABANDONED)).isEqualTo(StartOnceStep.TAKE_OVER);
+    }
+
+    @Test
+    void otherBodyUnderTheSameKeyIsAConflict() {
+        assertThat(read(OTHER, "x", StartState.FINISHED)).isEqualTo(StartOnceStep.REPORT_CONFLICT);
+    }
+
+    @Test
+    void absentRowIsInsertedAgain() {
+        assertThat(StartOnce.afterRead(Optional.empty(), OWN, "d"))
+                .isEqualTo(StartOnceStep.INSERT_AGAIN);
+    }
+
+    private static StartOnceStep read(String token, String digest, StartState state) {
+        StartRow row = new StartRow(digest, token, state, Optional.empty());
+        return StartOnce.afterRead(Optional.of(row), OWN, "d");
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/TargetNotAllowedTest.java
@@ -0,0 +1,68 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.NOT_ALLOWED;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.view;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.AccountId;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.ServiceId;
+import org.wigeonferry.core_types.VersionId;
+
+class TargetNotAllowedTest {
+    @Test
+    void allowedVersion() {
+        assertThat(TargetNotAllowed.rule().check(order().build(), view().build())).isEmpty();
+    }
+
+    @Test
+    void allowedService() {
+        assertThat(
+                        TargetNotAllowed.rule()
+                                .check(
+                                        order().version(Optional.empty())
+                                                .service(Optional.of(new ServiceId("booking")))
+                                                .build(),
+                                        view().build()))
+                .isEmpty();
+    }
+
+    @Test
+    void otherVersionIsRefused() {
+        assertThat(
+                        TargetNotAllowed.rule()
+                                .check(
+                                        order().version(Optional.of(new VersionId("large-1")))
+                                                .build(),
+                                        view().build()))
+                .map(Refusal::reason)
+                .contains(NOT_ALLOWED);
+    }
+
+    @Test
+    void otherServiceIsRefused() {
+        assertThat(
+                        TargetNotAllowed.rule()
+                                .check(
+                                        order().version(Optional.empty())
+                                                .service(Optional.of(new ServiceId("deposit")))
+                                                .build(),
+                                        view().build()))
+                .map(Refusal::reason)
+                .contains(NOT_ALLOWED);
+    }
+
+    @Test
+    void unknownAccountIsRefused() {
+        assertThat(
+                        TargetNotAllowed.rule()
+                                .check(
+                                        order().account(new AccountId("stranger")).build(),
+                                        view().build()))
+                .map(Refusal::reason)
+                .contains(NOT_ALLOWED);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/TargetNotServedTest.java
@@ -0,0 +1,39 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.NOT_SERVED;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.view;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.VersionId;
+
+class TargetNotServedTest {
+    @Test
+    void servedVersion() {
+        assertThat(TargetNotServed.rule().check(order().build(), view().build())).isEmpty();
+    }
+
+    @Test
+    void otherVersionIsRefused() {
+        assertThat(
+                        TargetNotServed.rule()
+                                .check(
+                                        order().version(Optional.of(new VersionId("large-1")))
+                                                .build(),
+                                        view().build()))
+                .map(Refusal::reason)
+                .contains(NOT_SERVED);
+    }
+
+    @Test
+    void unconfiguredUpstreamIsRefused() {
+        assertThat(
+                        TargetNotServed.rule()
+                                .check(order().build(), view().upstream(Optional.empty()).build()))
+                .map(Refusal::reason)
+                .contains(NOT_SERVED);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/UpstreamLeavingTest.java
@@ -0,0 +1,41 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.UPSTREAM_LEAVING;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.upstream;
+import static org.wigeonferry.decisions.GateFixtures.view;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Refusal;
+
+class UpstreamLeavingTest {
+    @Test
+    void staying() {
+        assertThat(UpstreamLeaving.rule().check(order().build(), view().build())).isEmpty();
+    }
+
+    @Test
+    void configuredToLeaveIsRefused() {
+        assertThat(
+                        UpstreamLeaving.rule()
+                                .check(
+                                        order().build(),
+                                        view().upstream(
+                                                        Optional.of(
+                                                                upstream().toBuilder()
+                                                                        .leaving(true)
+                                                                        .build()))
+                                                .build()))
+                .map(Refusal::reason)
+                .contains(UPSTREAM_LEAVING);
+    }
+
+    @Test
+    void saysItLeavesIsRefused() {
+        assertThat(UpstreamLeaving.rule().check(order().build(), view().hostLeaving(true).build()))
+                .map(Refusal::reason)
+                .contains(UPSTREAM_LEAVING);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/VersionWithdrawnTest.java
@@ -0,0 +1,48 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.VERSION_WITHDRAWN;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.view;
+import static org.wigeonferry.decisions.GateFixtures.withdrawn;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.VersionId;
+
+class VersionWithdrawnTest {
+    @Test
+    void activeVersion() {
+        assertThat(VersionWithdrawn.rule().check(order().build(), view().build())).isEmpty();
+    }
+
+    @Test
+    void plainService() {
+        assertThat(
+                        VersionWithdrawn.rule()
+                                .check(order().version(Optional.empty()).build(), view().build()))
+                .isEmpty();
+    }
+
+    @Test
+    void withdrawnVersionIsRefused() {
+        assertThat(
+                        VersionWithdrawn.rule()
+                                .check(order().build(), view().catalog(withdrawn()).build()))
+                .map(Refusal::reason)
+                .contains(VERSION_WITHDRAWN);
+    }
+
+    @Test
+    void unlistedVersionIsRefused() {
+        assertThat(
+                        VersionWithdrawn.rule()
+                                .check(
+                                        order().version(Optional.of(new VersionId("none-1")))
+                                                .build(),
+                                        view().build()))
+                .map(Refusal::reason)
+                .contains(VERSION_WITHDRAWN);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/wigeonferry/decisions/ZoneTakenOutTest.java
@@ -0,0 +1,36 @@
+package org.wigeonferry.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonferry.core_types.RefusalReason.ZONE_OUT;
+import static org.wigeonferry.decisions.GateFixtures.order;
+import static org.wigeonferry.decisions.GateFixtures.view;
+import static org.wigeonferry.decisions.GateFixtures.zoneOut;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Refusal;
+
+class ZoneTakenOutTest {
+    @Test
+    void servingZone() {
+        assertThat(ZoneTakenOut.rule().check(order().build(), view().build())).isEmpty();
+    }
+
+    @Test
+    void otherZoneOut() {
+        assertThat(
+                        ZoneTakenOut.rule()
+                                .check(
+                                        order().build(),
+                                        view().catalog(zoneOut("oyo-town")).build()))
+                .isEmpty();
+    }
+
+    @Test
+    void zoneOutIsRefused() {
+        assertThat(
+                        ZoneTakenOut.rule()
+                                .check(order().build(), view().catalog(zoneOut("ibadan")).build()))
+                .map(Refusal::reason)
+                .contains(ZONE_OUT);
+    }
+}
--- a/entry/src/main/java/org/wigeonferry/entry/AttemptReader.java
+++ b/entry/src/main/java/org/wigeonferry/entry/AttemptReader.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.Callback;
 import org.wigeonferry.core_types.Refusal;
 import org.wigeonferry.core_types.RefusalReason;
 import org.wigeonferry.core_types.Revision;
@@ -85,7 +86,7 @@
             demand.run();
             return;
         }
-        listener.onBytes(data.toByteArray(), demand);
+        listener.onBytes(data.toByteArray(), Callback.from(demand, abort));
     }
 
     void onComplete(Result end) {
--- a/entry/src/main/java/org/wigeonferry/entry/Attempts.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Attempts.java
@@ -32,6 +32,9 @@
     private static final Duration CAPACITY_PAUSE = Duration.ofMillis(20);
     private static final int MAX_FAILURES = 4;
 
+    /** Keeps the attempt numbers of different stages apart. */
+    private static final int STAGE_STRIDE = 100_000;
+
     private final Call call;
     private final Optional<VersionId> version;
     private final Optional<ServiceId> service;
@@ -114,11 +117,11 @@
                         upstream,
                         progress.offset(),
                         call.body(),
-                        (data, demand) -> {
+                        (data, taken) -> {
                             if (first.getAndSet(false)) {
                                 noteFirstToken(upstream, sent);
                             }
-                            progress.onBytes(data, demand);
+                            progress.onBytes(data, taken);
                         })
                 .whenComplete(
                         (end, failure) ->
@@ -151,14 +154,13 @@
                 .build();
     }
 
-    private static final int STAGE_STRIDE = 100_000;
-
     private void onEnd(Upstream upstream, AttemptResult end, Throwable failure) {
         if (failure != null) {
             onFailed(upstream, new AttemptFailed(failure.toString(), false, false));
             return;
         }
         if (end instanceof AttemptFinished finished) {
+            state.shared().suspects().onFinished(call.digest());
             state.router()
                     .onReport(
                             upstream.id(), finished.end().getInFlight(), finished.end().getLimit());
@@ -210,10 +212,14 @@
             state.shared()
                     .suspects()
                     .merge(new Suspicion(call.digest(), failed.condemned(), System.nanoTime()));
-            runtime.exchanger().tellUrgently();
+            CompletableFuture<Void> told = runtime.exchanger().tellUrgently();
+            if (failed.condemned()) {
+                told.whenComplete((done, failure) -> result.complete(failed));
+                return;
+            }
         }
         boolean repeatable = call.idempotencyKey().isEmpty();
-        boolean retry = repeatable && !failed.condemned() && !progress.callerGone();
+        boolean retry = repeatable && !progress.callerGone();
         if (retry && failures < MAX_FAILURES && state.retries().tryRetry()) {
             next();
             return;
--- a/entry/src/main/java/org/wigeonferry/entry/CollectedAnswer.java
+++ b/entry/src/main/java/org/wigeonferry/entry/CollectedAnswer.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.util.Callback;
 
 /**
  * An answer held whole before it is delivered.
@@ -12,9 +13,9 @@
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 
     @Override
-    public void onBytes(byte[] data, Runnable demand) {
+    public void onBytes(byte[] data, Callback taken) {
         bytes.write(data, 0, data.length);
-        demand.run();
+        taken.succeeded();
     }
 
     @Override
--- a/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
@@ -28,6 +28,7 @@
 
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final long CALL_COST_MICROS = 1000;
+    private static final String OPERATION = "[A-Za-z0-9._/-]+";
 
     private final EntryRuntime runtime;
     private final CallReader reader;
@@ -72,7 +73,7 @@
             Callback callback) {
         String path = Request.getPathInContext(request).substring(PREFIX.length());
         String[] parts = path.split("/", 2);
-        if (parts.length < 2 || parts[1].isEmpty()) {
+        if (parts.length < 2 || !parts[1].matches(OPERATION) || parts[1].contains("..")) {
             throw new IllegalArgumentException("expected " + PREFIX + "SERVICE/OPERATION");
         }
         ServiceId service = new ServiceId(parts[0]);
--- a/entry/src/main/java/org/wigeonferry/entry/StreamedAnswer.java
+++ b/entry/src/main/java/org/wigeonferry/entry/StreamedAnswer.java
@@ -35,7 +35,7 @@
     }
 
     @Override
-    public void onBytes(byte[] data, Runnable demand) {
+    public void onBytes(byte[] data, Callback taken) {
         begin();
         offset += data.length;
         if (copy.size() + data.length <= MAX_COPY_BYTES) {
@@ -46,10 +46,10 @@
                 false,
                 event(replies.chunk(text)),
                 Callback.from(
-                        demand,
+                        taken::succeeded,
                         failure -> {
                             callerGone = true;
-                            demand.run();
+                            taken.failed(failure);
                         }));
     }
 
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanger.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanger.java
@@ -27,6 +27,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Exchanger.class);
     private static final int URGENT_FANOUT = 6;
+    private static final int HOLDER_AGE_TIMEOUTS = 30;
 
     /** One exchange in so many goes to a seed, so that views that drifted apart meet again. */
     private static final int SEED_EVERY = 8;
@@ -65,10 +66,13 @@
         return control.ask(() -> answerOnControl(body));
     }
 
-    /** Tells several peers at once; call on the control thread. */
-    public void tellUrgently() {
-        long now = System.nanoTime();
-        state.peers().sample(URGENT_FANOUT, now).forEach(this::exchange);
+    /** Tells several peers at once; call on the control thread. Ends when all have answered. */
+    public CompletableFuture<Void> tellUrgently() {
+        CompletableFuture<?>[] exchanges =
+                state.peers().sample(URGENT_FANOUT, System.nanoTime()).stream()
+                        .map(this::exchange)
+                        .toArray(CompletableFuture<?>[]::new);
+        return CompletableFuture.allOf(exchanges);
     }
 
     /** Exchanges with the process at an address; call on the control thread. */
@@ -89,18 +93,16 @@
         }
     }
 
-    private void exchange(Peer peer) {
+    private CompletableFuture<Boolean> exchange(Peer peer) {
         Revision held =
                 state.holders(System.nanoTime(), timeout.multipliedBy(HOLDER_AGE_TIMEOUTS)).stream()
                         .filter(holder -> holder.peer().node().equals(peer.node()))
                         .map(holder -> holder.revision())
                         .findFirst()
                         .orElse(state.catalog().revision());
-        send(peer.address(), Optional.of(peer.node()), held);
+        return send(peer.address(), Optional.of(peer.node()), held);
     }
 
-    private static final int HOLDER_AGE_TIMEOUTS = 30;
-
     private CompletableFuture<Boolean> send(
             HostAddress address, Optional<NodeId> node, Revision peerRevision) {
         long asked = System.nanoTime();
--- /dev/null
+++ b/settings/src/test/java/org/wigeonferry/settings/ReleaseNoteParserTest.java
@@ -0,0 +1,88 @@
+package org.wigeonferry.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.Catalog;
+import org.wigeonferry.core_types.CommittedNote;
+import org.wigeonferry.core_types.ReleaseNoteException;
+import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.core_types.VersionId;
+
+class ReleaseNoteParserTest {
+    private static final String HEAD = "[note]\noperation = o1\n";
+    private static final String WHOLE =
+            HEAD
+                    + "[version small-1]\nmodel = small\ncost-micros-per-token = 2\n"
+                    + "[version small-2]\nmodel = small\nexposure-percent = 10\n"
+                    + "[withdraw small-1]\nsuccessor = small-2\n"
+                    + "[class draft]\nquality-target = 0.8\ndeadline-ms = 900\n"
+                    + "[account palace]\nversions = small-1, small-2\nservices = booking\n"
+                    + "key-digests = 00ff:"
+                    + "a".repeat(64)
+                    + "\n"
+                    + "[upstream e1]\nzone = ibadan\nagent = 127.0.0.1:9\nversions = small-2\n"
+                    + "[zone ibadan]\nstate = out\n"
+                    + "[drain e1]\n";
+
+    @Test
+    void wholeNoteApplies() throws ReleaseNoteException {
+        Catalog catalog = apply(WHOLE);
+        assertThat(catalog.versions().get(new VersionId("small-1")).withdrawn()).isTrue();
+        assertThat(catalog.upstreams()).hasSize(1);
+        assertThat(catalog.zonesOut()).hasSize(1);
+    }
+
+    @Test
+    void snapshotRecreatesTheCatalog() throws ReleaseNoteException {
+        Catalog catalog = apply(WHOLE);
+        String text = CatalogText.render(catalog);
+        CommittedNote snapshot = new CommittedNote(catalog.revision(), text, true);
+        assertThat(Notes.apply(Catalog.EMPTY, snapshot)).isEqualTo(catalog);
+    }
+
+    @Test
+    void changeKeepsTheFieldsItDoesNotName() throws ReleaseNoteException {
+        String text = HEAD + "[version small-2]\nexposure-percent = 50\n";
+        Catalog changed = Notes.apply(apply(WHOLE), ReleaseNoteParser.parse(text), new Revision(2));
+        assertThat(changed.versions().get(new VersionId("small-2")).model()).isEqualTo("small");
+    }
+
+    @Test
+    void badNotesAreRefusedWithTheirSection() {
+        refused("", "note");
+        refused("[version x]\nmodel = m\n", "note");
+        refused(HEAD + "[vision x]\n", "vision x");
+        refused(HEAD + "[version x]\nmodle = m\n", "unknown key modle");
+        refused(HEAD + "[version x]\nmodel = m\nexpected-quality = 2\n", "version x");
+        refused(HEAD + "[version x]\nmodel = m\nexpected-quality = many\n", "expected-quality");
+        refused(HEAD + "[version X!]\nmodel = m\n", "version X!");
+        refused(HEAD + "[version x]\n", "needs a model");
+        refused(HEAD + "[withdraw x]\n", "no such version");
+        refused(HEAD + "[zone a]\nstate = away\n", "in or out");
+        refused(HEAD + "[account a]\nversions = none-1\n", "no such version");
+        refused(HEAD + "[version x]\nmodel = m\n[version x]\nmodel = n\n", "more than once");
+        refused(HEAD + "[remove upstream x]\n", "no such upstream");
+    }
+
+    @Test
+    void refusedNoteChangesNothing() throws ReleaseNoteException {
+        Catalog before = apply(WHOLE);
+        String text = HEAD + "[zone oyo-town]\nstate = out\n[withdraw none-1]\n";
+        assertThatThrownBy(
+                        () -> Notes.apply(before, ReleaseNoteParser.parse(text), new Revision(2)))
+                .isInstanceOf(ReleaseNoteException.class);
+        assertThat(before).isEqualTo(apply(WHOLE));
+    }
+
+    private static void refused(String text, String message) {
+        assertThatThrownBy(() -> apply(text))
+                .isInstanceOf(ReleaseNoteException.class)
+                .hasMessageContaining(message);
+    }
+
+    private static Catalog apply(String text) throws ReleaseNoteException {
+        return Notes.apply(Catalog.EMPTY, ReleaseNoteParser.parse(text), new Revision(1));
+    }
+}
