Let no new process vouch for its zone, and say "not run" only when marked

Cause: writing the protocols down as models showed two faults in the code. (1) A process that had just started counted itself as a witness for its own zone; with the store down, two such processes made "more than half of the zones" without having met an accepted revision (spec/configuration.pml -DNEW_COUNTS_ITSELF). (2) An agent that gave a booking up while the store was down said "not run" although an earlier send of the same key could have run (spec/start_once.pml -DSAY_WITHOUT_MARK).

Ruled out: letting store-less processes stop altogether (an outage of the store would be one of the service); calling every store outage "unknown" (a mark in the table shows that nobody ran the call, so the truth can often be told).

Change: a process vouches for its zone only once it has caught up. An attempt that is given up first puts a mark in the table; without it the outcome is unknown. Control is an interface, so that the protocols run under virtual time. NaN and negative values in notes are refused.

Not covered: a zone whose processes hold different revisions (the model takes a zone as one process).

--- a/agent/src/main/java/org/wigeonferry/agent/Abandonment.java
+++ b/agent/src/main/java/org/wigeonferry/agent/Abandonment.java
@@ -1,10 +1,9 @@
 package org.wigeonferry.agent;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.wigeonferry.core_types.ReadResult;
 import org.wigeonferry.core_types.Row;
 import org.wigeonferry.core_types.RowPut;
@@ -12,7 +11,7 @@
 import org.wigeonferry.core_types.WriteOutcome;
 import org.wigeonferry.decisions.StartRow;
 import org.wigeonferry.decisions.StartState;
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.platform_clients.TableService;
 
 /**
@@ -26,52 +25,74 @@
     /** Most rows that wait to be marked. */
     static final int MAX_PENDING = 4096;
 
-    private static final Duration RETRY_PAUSE = Duration.ofSeconds(1);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
 
-    private final ControlThread control;
+    private final Control control;
     private final TableService table;
-    private final Map<String, StartRow> pending = new HashMap<>();
+    private int pending;
 
-    Abandonment(ControlThread control, TableService table) {
+    Abandonment(Control control, TableService table) {
         this.control = control;
         this.table = table;
     }
 
-    /** Marks the row of an attempt that never will hand its call over. */
-    void abandon(String key, String token, String digest) {
+    /**
+     * Marks the row of an attempt that never will hand its call over.
+     *
+     * <p>The result is true once the mark is in the table: no attempt had run the call by then. It
+     * is false if another attempt's row is there. It comes late while the store is down.
+     */
+    CompletableFuture<Boolean> abandon(String key, String token, String digest) {
         StartRow row = new StartRow(digest, token, StartState.ABANDONED, Optional.empty());
+        CompletableFuture<Boolean> marked = new CompletableFuture<>();
         control.run(
                 () -> {
-                    if (pending.size() < MAX_PENDING) {
-                        pending.put(key, row);
-                        settle(key, row);
+                    if (pending >= MAX_PENDING) {
+                        marked.complete(false);
+                        return;
                     }
+                    pending++;
+                    settle(key, row, marked);
                 });
+        return marked;
     }
 
-    private void settle(String key, StartRow row) {
-        table.read(key).thenAccept(read -> control.run(() -> onRead(key, row, read)));
+    private void settle(String key, StartRow row, CompletableFuture<Boolean> marked) {
+        table.read(key).thenAccept(read -> control.run(() -> onRead(key, row, read, marked)));
     }
 
-    private void onRead(String key, StartRow row, ReadResult read) {
+    private void onRead(
+            String key, StartRow row, ReadResult read, CompletableFuture<Boolean> marked) {
         if (!read.answered()) {
-            control.after(RETRY_PAUSE, () -> settle(key, row));
+            control.after(RETRY_PAUSE, () -> settle(key, row, marked));
             return;
         }
-        if (read.row().isPresent() && !ownsStarted(read.row().get(), row.token())) {
-            pending.remove(key);
+        Optional<StartRow> present = read.row().map(r -> StartRows.read(r.value()));
+        if (present.filter(row::equals).isPresent()) {
+            finish(marked, true);
+            return;
+        }
+        if (present.filter(start -> !ownsStarted(start, row.token())).isPresent()) {
+            finish(marked, false);
             return;
         }
         table.transact(marking(key, row, read.row()))
-                .thenAccept(result -> control.run(() -> onWrite(key, row, result.outcome())));
+                .thenAccept(
+                        result -> control.run(() -> onWrite(key, row, result.outcome(), marked)));
     }
 
-    private void onWrite(String key, StartRow row, WriteOutcome outcome) {
+    private void onWrite(
+            String key, StartRow row, WriteOutcome outcome, CompletableFuture<Boolean> marked) {
         if (outcome == WriteOutcome.APPLIED) {
-            pending.remove(key);
+            finish(marked, true);
             return;
         }
-        control.after(RETRY_PAUSE, () -> settle(key, row));
+        control.after(RETRY_PAUSE, () -> settle(key, row, marked));
+    }
+
+    private void finish(CompletableFuture<Boolean> marked, boolean result) {
+        pending--;
+        marked.complete(result);
     }
 
     private static TableTransaction marking(String key, StartRow row, Optional<Row> present) {
@@ -80,8 +101,7 @@
                 .orElseGet(() -> TableTransaction.insert(List.of(new RowPut(key, text))));
     }
 
-    private static boolean ownsStarted(Row row, String token) {
-        StartRow start = StartRows.read(row.value());
+    private static boolean ownsStarted(StartRow start, String token) {
         return start.token().equals(token) && start.state() == StartState.STARTED;
     }
 }
--- a/agent/src/main/java/org/wigeonferry/agent/Agent.java
+++ b/agent/src/main/java/org/wigeonferry/agent/Agent.java
@@ -114,7 +114,7 @@
                 new ServiceRunner(
                         control,
                         admission,
-                        new ServiceCalls(upstreamClient, upstream),
+                        new HttpServiceCalls(upstreamClient, upstream),
                         table,
                         new Abandonment(control, table),
                         state.identity().incarnation().value());
--- a/agent/src/main/java/org/wigeonferry/agent/EngineWatch.java
+++ b/agent/src/main/java/org/wigeonferry/agent/EngineWatch.java
@@ -10,7 +10,7 @@
 import org.eclipse.jetty.io.Content;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.core_types.StepException;
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 
 /**
  * Watches the upstream by one long response: its end means that the upstream was lost.
@@ -24,14 +24,14 @@
 
     private final HttpClient client;
     private final HostAddress upstream;
-    private final ControlThread control;
+    private final Control control;
     private final Runnable onLost;
     private final Consumer<Boolean> onLeaving;
 
     EngineWatch(
             HttpClient client,
             HostAddress upstream,
-            ControlThread control,
+            Control control,
             Runnable onLost,
             Consumer<Boolean> onLeaving) {
         this.client = client;
--- a/agent/src/main/java/org/wigeonferry/agent/ModelAttempt.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ModelAttempt.java
@@ -20,7 +20,7 @@
 import org.wigeonferry.messages.gen.EndMessage;
 import org.wigeonferry.messages.gen.FailureMessage;
 import org.wigeonferry.messages.gen.FrameMessage;
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.platform_clients.JsonCalls;
 
@@ -44,11 +44,11 @@
 
     private final StartOrder order;
     private final FrameSink sink;
-    private final ControlThread control;
+    private final Control control;
     private final Admission admission;
     private final NodeMetrics metrics;
     private final SseReader events = new SseReader();
-    private final long startedNanos = System.nanoTime();
+    private final long startedNanos;
     private Consumer<Throwable> abort = failure -> {};
     private long offset;
     private long tokens;
@@ -61,13 +61,14 @@
             StartOrder order,
             long resumeOffset,
             FrameSink sink,
-            ControlThread control,
+            Control control,
             Admission admission,
             NodeMetrics metrics) {
         this.order = order;
         this.offset = resumeOffset;
         this.sink = sink;
         this.control = control;
+        this.startedNanos = control.nanoTime();
         this.admission = admission;
         this.metrics = metrics;
     }
@@ -152,7 +153,7 @@
     }
 
     private void onFirstToken() {
-        Duration latency = Duration.ofNanos(System.nanoTime() - startedNanos);
+        Duration latency = Duration.ofNanos(control.nanoTime() - startedNanos);
         metrics.time("first_token", "account", order.account().value(), latency);
         control.run(() -> admission.onFirstToken(latency));
     }
--- a/agent/src/main/java/org/wigeonferry/agent/ModelRunner.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ModelRunner.java
@@ -9,7 +9,7 @@
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.core_types.StartOrder;
 import org.wigeonferry.messages.gen.OrderMessage;
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.NodeMetrics;
 
 /**
@@ -22,14 +22,14 @@
 
     private final HttpClient client;
     private final HostAddress engine;
-    private final ControlThread control;
+    private final Control control;
     private final Admission admission;
     private final NodeMetrics metrics;
 
     ModelRunner(
             HttpClient client,
             HostAddress engine,
-            ControlThread control,
+            Control control,
             Admission admission,
             NodeMetrics metrics) {
         this.client = client;
--- a/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
+++ b/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
@@ -19,8 +19,8 @@
 import org.wigeonferry.messages.gen.OrderMessage;
 import org.wigeonferry.node_runtime.ApiError;
 import org.wigeonferry.node_runtime.Bodies;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.ControlState;
-import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.Exchanger;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.node_runtime.Replies;
@@ -39,7 +39,7 @@
     private static final int BAD_REQUEST = 400;
     private static final int UNAVAILABLE = 503;
 
-    private final ControlThread control;
+    private final Control control;
     private final ControlState state;
     private final Admission admission;
     private final Exchanger exchanger;
@@ -47,7 +47,7 @@
     private final NodeMetrics metrics;
 
     OrderEndpoint(
-            ControlThread control,
+            Control control,
             ControlState state,
             Admission admission,
             Exchanger exchanger,
--- a/agent/src/main/java/org/wigeonferry/agent/ServiceCalls.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ServiceCalls.java
@@ -1,79 +1,26 @@
 package org.wigeonferry.agent;
 
 import java.net.ConnectException;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.CompletableResponseListener;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.http.HttpMethod;
-import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.core_types.StartOrder;
 
 /**
  * Calls a plain service, each call once.
  *
- * <p>Immutable and thread safe.
+ * <p>Implementations are thread safe and never block the caller.
  */
-final class ServiceCalls {
-    private static final int MAX_REPLY_BYTES = 1 << 20;
-    private static final Duration LOOKUP_TIMEOUT = Duration.ofSeconds(1);
-    private static final int OK = 200;
-
-    private final HttpClient client;
-    private final HostAddress service;
-
-    ServiceCalls(HttpClient client, HostAddress service) {
-        this.client = client;
-        this.service = service;
-    }
-
+interface ServiceCalls {
     /** Hands the call over; the operation is a method and a path. */
-    CompletableFuture<ServiceResult> call(StartOrder order, byte[] body) {
-        String[] operation = order.operation().split(" ", 2);
-        Request request =
-                client.newRequest("http://" + service + "/" + operation[1])
-                        .method(operation[0])
-                        .headers(fields -> fields.put("X-Account", order.account().value()))
-                        .timeout(Math.max(1, order.remaining().toMillis()), TimeUnit.MILLISECONDS);
-        order.idempotencyKey()
-                .ifPresent(
-                        key -> request.headers(f -> f.put("Idempotency-Key", scoped(order, key))));
-        if (body.length > 0) {
-            request.body(new BytesRequestContent("application/json", body));
-        }
-        return send(request);
-    }
+    CompletableFuture<ServiceResult> call(StartOrder order, byte[] body);
 
     /** Asks the service whether it finished a call; empty if it did not, or can't say. */
-    CompletableFuture<Optional<ServiceResult>> lookUp(StartOrder order) {
-        String key = scoped(order, order.idempotencyKey().orElse(""));
-        Request request =
-                client.newRequest("http://" + service + "/status/" + key)
-                        .method(HttpMethod.GET)
-                        .timeout(LOOKUP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-        return send(request)
-                .thenApply(result -> Optional.of(result).filter(r -> r.status() == OK))
-                .exceptionally(failure -> Optional.empty());
-    }
+    CompletableFuture<Optional<ServiceResult>> lookUp(StartOrder order);
 
     /** Tells whether a failure shows that nothing was sent. */
     static boolean nothingSent(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof ConnectException;
     }
-
-    private static CompletableFuture<ServiceResult> send(Request request) {
-        return new CompletableResponseListener(request, MAX_REPLY_BYTES)
-                .send()
-                .thenApply(r -> new ServiceResult(r.getStatus(), r.getContentAsString()));
-    }
-
-    private static String scoped(StartOrder order, String key) {
-        return order.account() + "." + key;
-    }
 }
--- a/agent/src/main/java/org/wigeonferry/agent/ServiceRunner.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ServiceRunner.java
@@ -11,7 +11,7 @@
 import org.wigeonferry.messages.gen.EndMessage;
 import org.wigeonferry.messages.gen.FailureMessage;
 import org.wigeonferry.messages.gen.OrderMessage;
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.platform_clients.TableService;
 
 /**
@@ -20,7 +20,7 @@
  * <p>Thread safe.
  */
 final class ServiceRunner implements OrderRunner {
-    private final ControlThread control;
+    private final Control control;
     private final Admission admission;
     private final ServiceCalls calls;
     private final TableService table;
@@ -28,7 +28,7 @@
     private final String incarnation;
 
     ServiceRunner(
-            ControlThread control,
+            Control control,
             Admission admission,
             ServiceCalls calls,
             TableService table,
@@ -44,7 +44,7 @@
 
     @Override
     public void run(StartOrder order, OrderMessage message, FrameSink sink) {
-        long started = System.nanoTime();
+        long started = control.nanoTime();
         if (order.idempotencyKey().isEmpty()) {
             runIdempotent(order, message.getBody(), sink, started);
             return;
@@ -77,7 +77,7 @@
             long startedNanos,
             ServiceOutcome end,
             Throwable failure) {
-        Duration latency = Duration.ofNanos(System.nanoTime() - startedNanos);
+        Duration latency = Duration.ofNanos(control.nanoTime() - startedNanos);
         ServiceOutcome outcome = failure == null ? end : ServiceOutcome.unknown(failure.toString());
         control.run(
                 () -> {
--- a/agent/src/main/java/org/wigeonferry/agent/StartOnceFlow.java
+++ b/agent/src/main/java/org/wigeonferry/agent/StartOnceFlow.java
@@ -15,7 +15,7 @@
 import org.wigeonferry.decisions.StartOnceStep;
 import org.wigeonferry.decisions.StartRow;
 import org.wigeonferry.decisions.StartState;
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.platform_clients.TableService;
 
 /**
@@ -28,15 +28,26 @@
     private static final Duration FIRST_PAUSE = Duration.ofMillis(50);
     private static final int MAX_RESULT_WRITES = 5;
 
+    /** Share of the time to the deadline that is kept for the mark of an attempt given up. */
+    private static final int MARK_SHARE = 4;
+
+    private static final ServiceOutcome NOT_RUN =
+            ServiceOutcome.notRun(
+                    RefusalReason.STORE_UNAVAILABLE, "table service did not answer in time");
+    private static final ServiceOutcome EARLIER_SEND =
+            ServiceOutcome.unknown(
+                    "this send was not run; an earlier one with the same key may have been");
+
     private final StartOrder order;
     private final String key;
     private final String token;
     private final byte[] body;
-    private final ControlThread control;
+    private final Control control;
     private final ServiceCalls calls;
     private final TableService table;
     private final Abandonment abandonment;
     private final long deadlineNanos;
+    private final long giveUpNanos;
     private final CompletableFuture<ServiceOutcome> outcome = new CompletableFuture<>();
     private Duration pause = FIRST_PAUSE;
     private Optional<Row> seen = Optional.empty();
@@ -45,7 +56,7 @@
             StartOrder order,
             String token,
             byte[] body,
-            ControlThread control,
+            Control control,
             ServiceCalls calls,
             TableService table,
             Abandonment abandonment) {
@@ -57,7 +68,9 @@
         this.calls = calls;
         this.table = table;
         this.abandonment = abandonment;
-        this.deadlineNanos = System.nanoTime() + order.remaining().toNanos();
+        long now = control.nanoTime();
+        this.deadlineNanos = now + order.remaining().toNanos();
+        this.giveUpNanos = deadlineNanos - order.remaining().toNanos() / MARK_SHARE;
     }
 
     /** Begins; the result says how the call ended. */
@@ -108,13 +121,10 @@
         take(StartOnce.afterRead(row, token, order.digest()));
     }
 
-    /** Goes on after a pause, or gives up at the deadline: nothing was handed over yet. */
+    /** Goes on after a pause, or gives up: nothing was handed over yet. */
     private void later(Runnable step) {
-        if (System.nanoTime() + pause.toNanos() > deadlineNanos) {
-            abandonment.abandon(key, token, order.digest());
-            outcome.complete(
-                    ServiceOutcome.notRun(
-                            RefusalReason.STORE_UNAVAILABLE, "table service did not answer"));
+        if (control.nanoTime() + pause.toNanos() > giveUpNanos) {
+            giveUp();
             return;
         }
         Duration wait = pause;
@@ -122,11 +132,21 @@
         control.after(wait, step);
     }
 
+    /**
+     * Says that the call was not run once the mark is in the table; until then an earlier send of
+     * the same call may have run, so that without the mark the outcome is unknown.
+     */
+    private void giveUp() {
+        abandonment
+                .abandon(key, token, order.digest())
+                .thenAccept(marked -> outcome.complete(marked ? NOT_RUN : EARLIER_SEND));
+        Duration left = Duration.ofNanos(Math.max(0, deadlineNanos - control.nanoTime()));
+        control.after(left, () -> outcome.complete(EARLIER_SEND));
+    }
+
     private void handOver() {
-        if (System.nanoTime() > deadlineNanos) {
-            abandonment.abandon(key, token, order.digest());
-            outcome.complete(
-                    ServiceOutcome.notRun(RefusalReason.DEADLINE_PASSED, "deadline passed"));
+        if (control.nanoTime() > giveUpNanos) {
+            giveUp();
             return;
         }
         calls.call(order, body)
--- /dev/null
+++ b/agent/src/test/java/org/wigeonferry/agent/FakeDesk.java
@@ -0,0 +1,64 @@
+package org.wigeonferry.agent;
+
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.stand_ins.VirtualTime;
+
+/** A desk in virtual time that counts what it truly runs, and loses connections and answers. */
+final class FakeDesk implements ServiceCalls {
+    private final VirtualTime time;
+    private final Random random;
+    private int runs;
+    private boolean finished;
+
+    FakeDesk(VirtualTime time, Random random) {
+        this.time = time;
+        this.random = random;
+    }
+
+    int runs() {
+        return runs;
+    }
+
+    @Override
+    public CompletableFuture<ServiceResult> call(StartOrder order, byte[] body) {
+        CompletableFuture<ServiceResult> result = new CompletableFuture<>();
+        int dice = random.nextInt(10);
+        if (dice == 0) {
+            result.completeExceptionally(new ConnectException("refused"));
+            return result;
+        }
+        runs++;
+        Duration delay = Duration.ofMillis(random.nextInt(200));
+        time.after(
+                delay,
+                () -> {
+                    finished = true;
+                    if (dice == 1) {
+                        result.completeExceptionally(new TimeoutException("answer lost"));
+                        return;
+                    }
+                    result.complete(new ServiceResult(200, "booked"));
+                });
+        return result;
+    }
+
+    @Override
+    public CompletableFuture<Optional<ServiceResult>> lookUp(StartOrder order) {
+        CompletableFuture<Optional<ServiceResult>> result = new CompletableFuture<>();
+        boolean answers = random.nextInt(3) > 0;
+        time.after(
+                Duration.ofMillis(5),
+                () ->
+                        result.complete(
+                                finished && answers
+                                        ? Optional.of(new ServiceResult(200, "booked"))
+                                        : Optional.empty()));
+        return result;
+    }
+}
--- a/core_types/src/main/java/org/wigeonferry/core_types/ModelVersion.java
+++ b/core_types/src/main/java/org/wigeonferry/core_types/ModelVersion.java
@@ -28,7 +28,7 @@
         if (exposurePercent < 0 || exposurePercent > 100) {
             throw new IllegalArgumentException("exposure out of range: " + exposurePercent);
         }
-        if (expectedQuality < 0 || expectedQuality > 1) {
+        if (!(expectedQuality >= 0 && expectedQuality <= 1)) {
             throw new IllegalArgumentException("quality out of range: " + expectedQuality);
         }
     }
--- a/core_types/src/main/java/org/wigeonferry/core_types/RequestClass.java
+++ b/core_types/src/main/java/org/wigeonferry/core_types/RequestClass.java
@@ -12,6 +12,15 @@
  * @param deadline time from arrival to the end of the answer
  */
 public record RequestClass(ClassId id, double qualityTarget, Duration deadline) {
+    public RequestClass {
+
+        if (!(qualityTarget >= 0 && qualityTarget <= 1)) {
+            throw new IllegalArgumentException("quality target out of range: " + qualityTarget);
+        }
+        if (deadline.isNegative() || deadline.isZero()) {
+            throw new IllegalArgumentException("deadline must be positive");
+        }
+    }
 
     /** Starts a builder with the default of every optional field. */
     public static RequestClassBuilder builder() {
--- a/decisions/src/main/java/org/wigeonferry/decisions/FreshnessLedger.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/FreshnessLedger.java
@@ -15,6 +15,9 @@
  * its age, and age is counted from the moment at which this process asked: an answer that lay in a
  * buffer while the process was paused is as old as the question.
  *
+ * <p>A process that has just started knows nothing, so it is no witness for its own zone until it
+ * has caught up once: with the store, or with more than half of the zones by the word of others.
+ *
  * <p>Not thread safe; owned by the control thread.
  */
 public final class FreshnessLedger {
@@ -22,6 +25,7 @@
     private final Map<ZoneId, Long> heardNanos = new HashMap<>();
     private long storeHeardNanos;
     private boolean storeHeard;
+    private boolean caughtUp;
 
     /** News older than {@code bound} doesn't count. */
     public FreshnessLedger(Duration bound) {
@@ -36,6 +40,13 @@
         }
     }
 
+    /** Counts this process as a witness for its own zone, once it has caught up. */
+    public void onOwnZone(ZoneId zone, long nowNanos) {
+        if (caughtUp) {
+            onZone(zone, nowNanos);
+        }
+    }
+
     /** Notes news from an availability zone that was current at the given time. */
     public void onZone(ZoneId zone, long currentAtNanos) {
         heardNanos.merge(zone, currentAtNanos, (a, b) -> a - b > 0 ? a : b);
@@ -43,11 +54,9 @@
 
     /** Tells whether work may be admitted. */
     public boolean fresh(Collection<ZoneId> zones, long nowNanos) {
-        if (storeHeard && nowNanos - storeHeardNanos <= bound.toNanos()) {
-            return true;
-        }
-        long heard = zones.stream().filter(zone -> heardWithinBound(zone, nowNanos)).count();
-        return heard * 2 > zones.size();
+        boolean fresh = storeWithinBound(nowNanos) || mostZonesWithinBound(zones, nowNanos);
+        caughtUp |= fresh;
+        return fresh;
     }
 
     /** Age of the newest news from the store; a very long time if there was none. */
@@ -63,6 +72,15 @@
         return ages;
     }
 
+    private boolean storeWithinBound(long nowNanos) {
+        return storeHeard && nowNanos - storeHeardNanos <= bound.toNanos();
+    }
+
+    private boolean mostZonesWithinBound(Collection<ZoneId> zones, long nowNanos) {
+        long heard = zones.stream().filter(zone -> heardWithinBound(zone, nowNanos)).count();
+        return heard * 2 > zones.size();
+    }
+
     private boolean heardWithinBound(ZoneId zone, long nowNanos) {
         Long at = heardNanos.get(zone);
         return at != null && nowNanos - at <= bound.toNanos();
--- a/decisions/src/test/java/org/wigeonferry/decisions/FreshnessLedgerTest.java
+++ b/decisions/src/test/java/org/wigeonferry/decisions/FreshnessLedgerTest.java
@@ -59,6 +59,25 @@
         assertThat(ledger.storeAge(0)).isEqualTo(Duration.ZERO);
     }
 
+    @Test
+    void newProcessIsNoWitnessForItsOwnZone() {
+        ledger.onOwnZone(A, 0);
+        ledger.onZone(B, 0);
+        assertThat(ledger.fresh(ZONES, 0)).isFalse();
+        ledger.onZone(C, 0);
+        assertThat(ledger.fresh(ZONES, 0)).isTrue();
+    }
+
+    @Test
+    void processThatCaughtUpIsAWitnessForItsOwnZone() {
+        ledger.onStore(0);
+        assertThat(ledger.fresh(ZONES, 0)).isTrue();
+        long later = BOUND.toNanos() + 1;
+        ledger.onOwnZone(A, later);
+        ledger.onZone(B, later);
+        assertThat(ledger.fresh(ZONES, later)).isTrue();
+    }
+
     @Test
     void unknownZonesDoNotCount() {
         ledger.onZone(new ZoneId("x"), 0);
--- a/entry/src/main/java/org/wigeonferry/entry/Attempts.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Attempts.java
@@ -16,7 +16,7 @@
 import org.wigeonferry.core_types.VersionId;
 import org.wigeonferry.decisions.RouteQuery;
 import org.wigeonferry.decisions.Suspicion;
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.Exchanger;
 
 /**
@@ -41,7 +41,7 @@
     private final String operation;
     private final int stage;
     private final EntryRuntime runtime;
-    private final ControlThread control;
+    private final Control control;
     private final EntryState state;
     private final AnswerProgress progress;
     private final Set<UpstreamId> tried = new HashSet<>();
@@ -80,7 +80,7 @@
                             RefusalReason.DEADLINE_PASSED, "no upstream took the request in time"));
             return;
         }
-        long now = System.nanoTime();
+        long now = control.nanoTime();
         Catalog catalog = state.shared().catalog();
         if (state.shared().suspects().condemned(call.digest(), now)) {
             giveUp(Refusal.of(RefusalReason.POISON, "request crashed upstreams"));
@@ -109,7 +109,7 @@
         StartOrder order = order(catalog);
         attempt++;
         state.router().onSent(upstream.id());
-        long sent = System.nanoTime();
+        long sent = control.nanoTime();
         AtomicBoolean first = new AtomicBoolean(true);
         runtime.attempts()
                 .send(
@@ -133,7 +133,7 @@
     }
 
     private void noteFirstToken(Upstream upstream, long sent) {
-        Duration latency = Duration.ofNanos(System.nanoTime() - sent);
+        Duration latency = Duration.ofNanos(control.nanoTime() - sent);
         control.run(() -> state.router().onFirstToken(upstream.id(), latency));
     }
 
@@ -150,7 +150,7 @@
                 .remaining(call.remaining())
                 .digest(call.digest())
                 .idempotencyKey(call.idempotencyKey())
-                .suspect(state.shared().suspects().suspected(call.digest(), System.nanoTime()))
+                .suspect(state.shared().suspects().suspected(call.digest(), control.nanoTime()))
                 .build();
     }
 
@@ -186,7 +186,7 @@
                 .block(
                         upstream.id(),
                         gone ? BLOCK_AFTER_LOSS : BLOCK_AFTER_REFUSAL,
-                        System.nanoTime());
+                        control.nanoTime());
         if (state.shared().catalog().revision().isBefore(refused.revision())) {
             catchUp(upstream);
             return;
@@ -206,12 +206,12 @@
         failures++;
         lastFailure = failed.detail();
         runtime.metrics().count("attempt_failures", "upstream", upstream.id().value());
-        state.router().block(upstream.id(), BLOCK_AFTER_LOSS, System.nanoTime());
+        state.router().block(upstream.id(), BLOCK_AFTER_LOSS, control.nanoTime());
         tried.add(upstream.id());
         if (failed.crashed()) {
             state.shared()
                     .suspects()
-                    .merge(new Suspicion(call.digest(), failed.condemned(), System.nanoTime()));
+                    .merge(new Suspicion(call.digest(), failed.condemned(), control.nanoTime()));
             CompletableFuture<Void> told = runtime.exchanger().tellUrgently();
             if (failed.condemned()) {
                 told.whenComplete((done, failure) -> result.complete(failed));
--- a/entry/src/main/java/org/wigeonferry/entry/BillKeeper.java
+++ b/entry/src/main/java/org/wigeonferry/entry/BillKeeper.java
@@ -21,7 +21,7 @@
 import org.wigeonferry.messages.CodecException;
 import org.wigeonferry.messages.gen.HoldMessage;
 import org.wigeonferry.messages.gen.HoldReply;
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.node_runtime.PeerCalls;
 import org.wigeonferry.platform_clients.TableService;
@@ -46,7 +46,7 @@
     /** How long an owner may be silent before its bills are written by their holder. */
     private static final Duration OWNER_SILENCE = Duration.ofSeconds(10);
 
-    private final ControlThread control;
+    private final Control control;
     private final EntryState state;
     private final BillLedger ledger;
     private final PeerCalls calls;
@@ -57,7 +57,7 @@
     private final java.util.Map<NodeId, Long> ownerSeenNanos = new java.util.HashMap<>();
 
     BillKeeper(
-            ControlThread control,
+            Control control,
             EntryState state,
             PeerCalls calls,
             TableService table,
@@ -95,7 +95,7 @@
                     try {
                         HoldMessage message = Codec.decode(body, new HoldMessage());
                         NodeId owner = new NodeId(message.getOwner());
-                        ownerSeenNanos.put(owner, System.nanoTime());
+                        ownerSeenNanos.put(owner, control.nanoTime());
                         ledger.drop(owner, message.getDrop());
                         List<Bill> bills = message.getHold().stream().map(Bills::toBill).toList();
                         return Codec.encode(new HoldReply(ledger.hold(owner, bills)));
@@ -111,7 +111,7 @@
     }
 
     private CompletableFuture<Boolean> holdAtPeer(Bill bill, Set<NodeId> tried, int triesLeft) {
-        Optional<Peer> peer = state.shared().otherZonePeer(tried, System.nanoTime());
+        Optional<Peer> peer = state.shared().otherZonePeer(tried, control.nanoTime());
         if (peer.isEmpty() || triesLeft == 0) {
             return writeNow(bill, MAX_STORE_TRIES);
         }
@@ -233,7 +233,7 @@
     }
 
     private void sendDrops() {
-        for (Peer peer : state.shared().peers().live(System.nanoTime())) {
+        for (Peer peer : state.shared().peers().live(control.nanoTime())) {
             Optional.ofNullable(drops.remove(peer.node()))
                     .ifPresent(keys -> sendHold(peer, List.of(), keys));
         }
@@ -241,7 +241,7 @@
     }
 
     private void adoptSilent() {
-        long now = System.nanoTime();
+        long now = control.nanoTime();
         for (NodeId owner : ledger.owners()) {
             long seen = ownerSeenNanos.getOrDefault(owner, now);
             if (now - seen > OWNER_SILENCE.toNanos()) {
--- a/entry/src/main/java/org/wigeonferry/entry/Committer.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Committer.java
@@ -22,9 +22,8 @@
 import org.wigeonferry.core_types.ZoneId;
 import org.wigeonferry.decisions.Acceptance;
 import org.wigeonferry.decisions.Holder;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.ControlState;
-import org.wigeonferry.node_runtime.ControlThread;
-import org.wigeonferry.node_runtime.Exchanger;
 import org.wigeonferry.platform_clients.TableService;
 import org.wigeonferry.settings.CatalogText;
 import org.wigeonferry.settings.Notes;
@@ -44,24 +43,24 @@
     private static final Duration ACCEPTANCE_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration HOLDER_MAX_AGE = Duration.ofSeconds(30);
 
-    private final ControlThread control;
+    private final Control control;
     private final ControlState state;
     private final TableService table;
     private final StorePoller poller;
-    private final Exchanger exchanger;
+    private final Runnable tellPeers;
     private final List<AcceptanceWait> waits = new ArrayList<>();
 
     Committer(
-            ControlThread control,
+            Control control,
             ControlState state,
             TableService table,
             StorePoller poller,
-            Exchanger exchanger) {
+            Runnable tellPeers) {
         this.control = control;
         this.state = state;
         this.table = table;
         this.poller = poller;
-        this.exchanger = exchanger;
+        this.tellPeers = tellPeers;
         state.onHolderNews(this::checkWaits);
     }
 
@@ -215,7 +214,7 @@
         if (revision.number() % SNAPSHOT_EVERY == 0) {
             writeSnapshot();
         }
-        exchanger.tellUrgently();
+        tellPeers.run();
         return awaitAcceptance(revision);
     }
 
@@ -251,7 +250,7 @@
 
     /** How far a revision has come; call on the control thread. */
     CommitResult progress(Revision revision) {
-        List<Holder> holders = state.holders(System.nanoTime(), HOLDER_MAX_AGE);
+        List<Holder> holders = state.holders(control.nanoTime(), HOLDER_MAX_AGE);
         Set<ZoneId> zones = Acceptance.holdingZones(state.identity().zone(), holders, revision);
         boolean accepted = Acceptance.accepted(zones, state.zones());
         return new CommitResult(
--- a/entry/src/main/java/org/wigeonferry/entry/Entry.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Entry.java
@@ -70,7 +70,8 @@
         bills = new BillKeeper(control, state, calls, table, metrics);
         EntryRuntime runtime = runtime(settings, calls, exchanger);
         StorePoller poller = new StorePoller(control, shared, table);
-        Committer committer = new Committer(control, shared, table, poller, exchanger);
+        Committer committer =
+                new Committer(control, shared, table, poller, exchanger::tellUrgently);
         Routes admin = new Routes();
         new AdminEndpoints(runtime, committer, table, settings.value(EntryKeys.ADMIN_KEYS))
                 .addTo(admin);
--- a/entry/src/main/java/org/wigeonferry/entry/EntryRuntime.java
+++ b/entry/src/main/java/org/wigeonferry/entry/EntryRuntime.java
@@ -1,6 +1,6 @@
 package org.wigeonferry.entry;
 
-import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.Exchanger;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.platform_clients.RatingService;
@@ -20,7 +20,7 @@
  * @param metrics counters and histograms
  */
 record EntryRuntime(
-        ControlThread control,
+        Control control,
         EntryState state,
         AttemptClient attempts,
         Exchanger exchanger,
--- a/entry/src/main/java/org/wigeonferry/entry/Readiness.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Readiness.java
@@ -7,8 +7,8 @@
 import org.eclipse.jetty.util.Callback;
 import org.wigeonferry.core_types.Revision;
 import org.wigeonferry.node_runtime.ApiError;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.ControlState;
-import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.Replies;
 import org.wigeonferry.platform_clients.JsonCalls;
 
@@ -25,12 +25,12 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
-    private final ControlThread control;
+    private final Control control;
     private final ControlState state;
     private final List<Runnable> waiting = new ArrayList<>();
     private volatile boolean stopping;
 
-    Readiness(ControlThread control, ControlState state) {
+    Readiness(Control control, ControlState state) {
         this.control = control;
         this.state = state;
         state.onCatalog(catalog -> release());
--- a/entry/src/main/java/org/wigeonferry/entry/StorePoller.java
+++ b/entry/src/main/java/org/wigeonferry/entry/StorePoller.java
@@ -7,8 +7,8 @@
 import org.wigeonferry.core_types.ReadResult;
 import org.wigeonferry.core_types.Revision;
 import org.wigeonferry.core_types.ScanResult;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.ControlState;
-import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.platform_clients.TableService;
 
 /**
@@ -20,11 +20,11 @@
 final class StorePoller {
     private static final int MAX_NOTES = 100;
 
-    private final ControlThread control;
+    private final Control control;
     private final ControlState state;
     private final TableService table;
 
-    StorePoller(ControlThread control, ControlState state, TableService table) {
+    StorePoller(Control control, ControlState state, TableService table) {
         this.control = control;
         this.state = state;
         this.table = table;
@@ -38,7 +38,7 @@
 
     /** Catches up with the store now; false if the store did not answer. */
     CompletableFuture<Boolean> poll() {
-        long asked = System.nanoTime();
+        long asked = control.nanoTime();
         return table.read(ConfigRows.HEAD)
                 .thenCompose(
                         read -> control.ask(() -> onHead(read, asked)).thenCompose(done -> done));
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ControlState.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ControlState.java
@@ -119,7 +119,7 @@
 
     /** Tells whether work may be admitted by the catalog. */
     public boolean fresh(long nowNanos) {
-        freshness.onZone(identity.zone(), nowNanos);
+        freshness.onOwnZone(identity.zone(), nowNanos);
         return freshness.fresh(zones(), nowNanos);
     }
 
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ControlThread.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ControlThread.java
@@ -16,7 +16,7 @@
  * <p>Traffic threads hand it questions and go on; it never blocks and never waits for I/O.
  * Invariant: at most {@link #MAX_WAITING} tasks of traffic wait. Thread safe.
  */
-public final class ControlThread implements AutoCloseable {
+public final class ControlThread implements Control, AutoCloseable {
     /** Most tasks that wait; further ones fail at once. */
     public static final int MAX_WAITING = 100_000;
 
@@ -39,7 +39,7 @@
         executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
     }
 
-    /** Runs a task on the control thread. */
+    @Override
     public void run(Runnable task) {
         if (!waiting.tryAcquire()) {
             throw new RejectedExecutionException("control thread is overloaded");
@@ -56,7 +56,7 @@
         }
     }
 
-    /** Asks a question of the control state. */
+    @Override
     public <T> CompletableFuture<T> ask(Supplier<T> question) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         try {
@@ -67,7 +67,7 @@
         return answer;
     }
 
-    /** Runs a task once after a delay; the result cancels it. */
+    @Override
     public Runnable after(Duration delay, Runnable task) {
         try {
             var future =
@@ -79,12 +79,17 @@
         }
     }
 
-    /** Runs a task again and again, with a pause between runs. */
+    @Override
     public void every(Duration period, Runnable task) {
         executor.scheduleWithFixedDelay(
                 () -> guarded(task), period.toNanos(), period.toNanos(), TimeUnit.NANOSECONDS);
     }
 
+    @Override
+    public long nanoTime() {
+        return System.nanoTime();
+    }
+
     @Override
     public void close() {
         executor.shutdownNow();
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanger.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanger.java
@@ -32,7 +32,7 @@
     /** One exchange in so many goes to a seed, so that views that drifted apart meet again. */
     private static final int SEED_EVERY = 8;
 
-    private final ControlThread control;
+    private final Control control;
     private final ControlState state;
     private final PeerCalls calls;
     private final List<HostAddress> seeds;
@@ -42,7 +42,7 @@
 
     /** Exchanges by way of {@code calls}; each waits at most {@code timeout}. */
     public Exchanger(
-            ControlThread control,
+            Control control,
             ControlState state,
             PeerCalls calls,
             List<HostAddress> seeds,
@@ -69,7 +69,7 @@
     /** Tells several peers at once; call on the control thread. Ends when all have answered. */
     public CompletableFuture<Void> tellUrgently() {
         CompletableFuture<?>[] exchanges =
-                state.peers().sample(URGENT_FANOUT, System.nanoTime()).stream()
+                state.peers().sample(URGENT_FANOUT, control.nanoTime()).stream()
                         .map(this::exchange)
                         .toArray(CompletableFuture<?>[]::new);
         return CompletableFuture.allOf(exchanges);
@@ -82,7 +82,7 @@
 
     private void exchangeWithOne() {
         sent++;
-        Optional<Peer> peer = state.peers().pick(p -> true, System.nanoTime());
+        Optional<Peer> peer = state.peers().pick(p -> true, control.nanoTime());
         boolean seedsTurn = sent % SEED_EVERY == 0 && !seeds.isEmpty();
         if (peer.isPresent() && !seedsTurn) {
             exchange(peer.get());
@@ -95,7 +95,9 @@
 
     private CompletableFuture<Boolean> exchange(Peer peer) {
         Revision held =
-                state.holders(System.nanoTime(), timeout.multipliedBy(HOLDER_AGE_TIMEOUTS)).stream()
+                state
+                        .holders(control.nanoTime(), timeout.multipliedBy(HOLDER_AGE_TIMEOUTS))
+                        .stream()
                         .filter(holder -> holder.peer().node().equals(peer.node()))
                         .map(holder -> holder.revision())
                         .findFirst()
@@ -105,7 +107,7 @@
 
     private CompletableFuture<Boolean> send(
             HostAddress address, Optional<NodeId> node, Revision peerRevision) {
-        long asked = System.nanoTime();
+        long asked = control.nanoTime();
         Revision known = node.isEmpty() ? state.catalog().revision() : peerRevision;
         byte[] body;
         try {
@@ -133,7 +135,7 @@
         }
         try {
             ExchangeMessage message = Codec.decode(reply, new ExchangeMessage());
-            Exchanges.takeOver(state, message, System.nanoTime());
+            Exchanges.takeOver(state, message, control.nanoTime());
             Exchanges.countNews(state, message, asked);
             return true;
         } catch (CodecException e) {
@@ -145,7 +147,7 @@
     private byte[] answerOnControl(byte[] body) {
         try {
             ExchangeMessage message = Codec.decode(body, new ExchangeMessage());
-            long now = System.nanoTime();
+            long now = control.nanoTime();
             Exchanges.takeOver(state, message, now);
             return Codec.encode(Exchanges.write(state, new Revision(message.getRevision()), now));
         } catch (CodecException e) {
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanges.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanges.java
@@ -100,7 +100,7 @@
     }
 
     private static List<ZoneAgeMessage> zoneAges(ControlState state, long nowNanos) {
-        state.freshness().onZone(state.identity().zone(), nowNanos);
+        state.fresh(nowNanos);
         List<ZoneAgeMessage> ages = new ArrayList<>();
         state.freshness()
                 .zoneAges(nowNanos)
--- a/settings/src/test/java/org/wigeonferry/settings/ReleaseNoteParserTest.java
+++ b/settings/src/test/java/org/wigeonferry/settings/ReleaseNoteParserTest.java
@@ -57,6 +57,9 @@
         refused(HEAD + "[version x]\nmodle = m\n", "unknown key modle");
         refused(HEAD + "[version x]\nmodel = m\nexpected-quality = 2\n", "version x");
         refused(HEAD + "[version x]\nmodel = m\nexpected-quality = many\n", "expected-quality");
+        refused(HEAD + "[version x]\nmodel = m\nexpected-quality = NaN\n", "version x");
+        refused(HEAD + "[class c]\ndeadline-ms = -5\n", "class c");
+        refused(HEAD + "[class c]\nquality-target = NaN\n", "class c");
         refused(HEAD + "[version X!]\nmodel = m\n", "version X!");
         refused(HEAD + "[version x]\n", "needs a model");
         refused(HEAD + "[withdraw x]\n", "no such version");
