Drive roll-outs by lease, and pull a bad version back without a person

Change: entries keep evidence on versions (answers, errors, ratings) and report their totals with the exchange; the holder of a lease row decides step by step (RollOutGates) and commits each step as a release note on condition that the lease row is still the one it wrote. All state of a roll-out is in the configuration, so the next holder goes on. Lapse is judged by each observer's own monotonic clock; no clocks are compared. News is told on by whoever learns it from a peer.

--- a/agent/src/main/java/org/wigeonferry/agent/Agent.java
+++ b/agent/src/main/java/org/wigeonferry/agent/Agent.java
@@ -15,6 +15,7 @@
 import org.wigeonferry.node_runtime.ControlState;
 import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.Daemon;
+import org.wigeonferry.node_runtime.Dissemination;
 import org.wigeonferry.node_runtime.Exchanger;
 import org.wigeonferry.node_runtime.HttpClients;
 import org.wigeonferry.node_runtime.HttpServers;
@@ -36,6 +37,7 @@
  */
 public final class Agent implements Daemon {
     private static final Logger LOG = LoggerFactory.getLogger(Agent.class);
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration MAX_EXCHANGE_TIMEOUT = Duration.ofSeconds(1);
 
@@ -62,6 +64,7 @@
                         state,
                         new PeerCalls(peerClient, settings.value(NodeKeys.PEER_KEY)),
                         settings.value(NodeKeys.SEEDS),
+                        Dissemination.none(),
                         MAX_EXCHANGE_TIMEOUT);
         OrderEndpoint orders =
                 new OrderEndpoint(control, state, admission, exchanger, runner(settings), metrics);
--- a/command_line/src/main/java/org/wigeonferry/command_line/DemoCommand.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/DemoCommand.java
@@ -13,7 +13,6 @@
 import org.wigeonferry.node_runtime.HttpClients;
 import org.wigeonferry.node_runtime.LoggingSetup;
 import org.wigeonferry.platform_clients.JsonCalls;
-import org.wigeonferry.platform_clients.JsonReply;
 
 /**
  * Runs a deployment of three availability zones under load, through a roll-out, a zone that leaves
@@ -30,7 +29,6 @@
     private static final Duration IN_FORCE = Duration.ofSeconds(3);
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(30);
     private static final long SEED = 20_261_204;
-    private static final int OK = 200;
 
     private final DemoDeployment deployment;
     private final HttpClient client;
@@ -91,10 +89,10 @@
 
     private void rollOut(Duration step) throws StepException {
         tell("rolling out small-2 to 20 in 100");
-        apply(DemoNotes.rollOut(deployment.plan(), 20));
+        apply(DemoNotes.rollOut(deployment.plan(), "small-2", 20));
         pause(step.dividedBy(2));
         tell("rolling out small-2 to all, withdrawing small-1");
-        apply(DemoNotes.rollOut(deployment.plan(), 100));
+        apply(DemoNotes.rollOut(deployment.plan(), "small-2", 100));
         apply(DemoNotes.withdraw());
         pause(IN_FORCE);
         int before = ledgers.starts("small-1", upstream -> true);
@@ -126,13 +124,7 @@
 
     private void apply(String note) throws StepException {
         DemoEntry entry = deployment.plan().entries().get(0);
-        try (AdminClient admin = new AdminClient(entry.admins(), DemoFiles.ADMIN_KEY)) {
-            JsonReply reply = admin.postNote(note, false);
-            if (reply.status() != OK) {
-                throw new StepException("apply note", entry.name(), reply.body().toString());
-            }
-            tell("  " + reply.body());
-        }
+        tell("  " + DemoOperator.apply(entry, note).body());
     }
 
     private void awaitEntries() throws StepException {
--- a/command_line/src/main/java/org/wigeonferry/command_line/DemoFiles.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/DemoFiles.java
@@ -30,7 +30,7 @@
     /** Settings of an upstream's stand-in. */
     public Path upstream(DemoUpstream upstream) throws StepException {
         String text = "[stand-in]\naddress = " + upstream.address() + "\n";
-        String engine = "[engine]\nskills = " + DemoNotes.SKILLS + "\n";
+        String engine = "[engine]\nskills = " + DemoNotes.SKILLS + "\n" + plan.engineSettings();
         return write(upstream.name(), upstream.engine() ? text + engine : text);
     }
 
@@ -67,7 +67,8 @@
                         + "\nadmin-key-digests = "
                         + digest(ADMIN_KEY)
                         + "\nsession-key = demo-session-secret\n"
-                        + "[billing]\nwrite-period-ms = 200\n";
+                        + "[billing]\nwrite-period-ms = 200\n"
+                        + "[rollout]\nsteps = 20,50,100\nsamples = 30\nperiod-ms = 300\n";
         return write(entry.name(), text);
     }
 
--- a/command_line/src/main/java/org/wigeonferry/command_line/DemoNotes.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/DemoNotes.java
@@ -18,7 +18,8 @@
     public static final String FORBIDDEN = "forbidden-1";
 
     /** Versions that engines run, with their skill. */
-    public static final String SKILLS = "small-1:0.6,small-2:0.65,large-1:0.9,forbidden-1:0.95";
+    public static final String SKILLS =
+            "small-1:0.6,small-2:0.65,small-bad:0.1,large-1:0.9,forbidden-1:0.95";
 
     private DemoNotes() {}
 
@@ -47,12 +48,14 @@
     }
 
     /** Adds a version and exposes a share of the requests to it. */
-    public static String rollOut(DemoPlan plan, int percent) {
-        StringBuilder note = new StringBuilder(head("demo-rollout-" + percent, "roll out"));
-        note.append(version("small-2", "small", 1, 0.65, percent));
+    public static String rollOut(DemoPlan plan, String name, int percent) {
+        StringBuilder note =
+                new StringBuilder(head("demo-rollout-" + name + "-" + percent, "roll out"));
+        note.append(version(name, "small", 1, 0.65, percent));
+        String versions = "]\nversions = small-1, " + name + ", large-1";
         for (String account : ACCOUNTS) {
             note.append("[account ").append(account);
-            note.append("]\nversions = small-1, small-2, large-1\n");
+            note.append(versions).append('\n');
         }
         plan.upstreams().stream()
                 .filter(DemoUpstream::engine)
@@ -60,9 +63,8 @@
                         upstream ->
                                 note.append("[upstream ")
                                         .append(upstream.name())
-                                        .append(
-                                                "]\nversions = small-1, small-2, large-1,"
-                                                        + " forbidden-1\n"));
+                                        .append(versions)
+                                        .append(", forbidden-1\n"));
         return note.toString();
     }
 
--- a/command_line/src/main/java/org/wigeonferry/command_line/DemoPlan.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/DemoPlan.java
@@ -13,8 +13,13 @@
  * @param table the table service
  * @param entries the entries
  * @param upstreams the upstreams
+ * @param engineSettings further lines of the engines' settings
  */
-public record DemoPlan(HostAddress table, List<DemoEntry> entries, List<DemoUpstream> upstreams) {
+public record DemoPlan(
+        HostAddress table,
+        List<DemoEntry> entries,
+        List<DemoUpstream> upstreams,
+        String engineSettings) {
     /** Copies the lists. */
     public DemoPlan {
         entries = List.copyOf(entries);
@@ -37,7 +42,12 @@
                 upstreams.add(upstream(zone, "desk", i, ports));
             }
         }
-        return new DemoPlan(ports.next(), entries, upstreams);
+        return new DemoPlan(ports.next(), entries, upstreams, "");
+    }
+
+    /** The same deployment with further settings of its engines. */
+    public DemoPlan withEngineSettings(String lines) {
+        return new DemoPlan(table, entries, upstreams, lines);
     }
 
     private static DemoUpstream upstream(String zone, String kind, int number, DemoPorts ports)
--- a/command_line/src/test/java/org/wigeonferry/command_line/FailureHarness.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/FailureHarness.java
@@ -122,6 +122,19 @@
         return all(all);
     }
 
+    /** Holder of the roll-out's lease, or an empty text. */
+    String leaseHolder() {
+        String path = "/v1/row?key=lease/rollout";
+        String value =
+                new JsonCalls(client, plan().table(), TIMEOUT)
+                        .fetch(path)
+                        .join()
+                        .body()
+                        .path("value")
+                        .asText();
+        return JsonCalls.parse(value).path("holder").asText();
+    }
+
     void tableFault(String fault) {
         new JsonCalls(client, plan().table(), TIMEOUT)
                 .post("/control/fault", JsonCalls.object().put("fault", fault))
--- a/command_line/src/test/java/org/wigeonferry/command_line/ProcessFailureTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/ProcessFailureTest.java
@@ -36,7 +36,7 @@
 
     @Test
     void frozenAgentStartsNothingThatWasWithdrawnMeanwhile() throws StepException {
-        harness.apply(0, DemoNotes.rollOut(harness.plan(), 100));
+        harness.apply(0, DemoNotes.rollOut(harness.plan(), "small-2", 100));
         harness.chats(30, PACE, "small-1", 0, 1, 2).join();
         DemoUpstream engine = harness.engine(0);
         String agent = "agent-" + engine.name();
--- a/entry/src/main/java/org/wigeonferry/entry/Attempts.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Attempts.java
@@ -162,6 +162,7 @@
         }
         if (end instanceof AttemptFinished finished) {
             state.shared().suspects().onFinished(call.digest());
+            version.ifPresent(state.shared().evidence()::onAnswer);
             state.router()
                     .onReport(
                             upstream.id(), finished.end().getInFlight(), finished.end().getLimit());
@@ -210,6 +211,7 @@
     private void onFailed(Upstream upstream, AttemptFailed failed) {
         failures++;
         lastFailure = failed.detail();
+        version.ifPresent(state.shared().evidence()::onError);
         runtime.metrics().count("attempt_failures", "upstream", upstream.id().value());
         state.router().block(upstream.id(), BLOCK_AFTER_LOSS, control.nanoTime());
         tried.add(upstream.id());
--- a/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
@@ -128,6 +128,7 @@
         runtime.state()
                 .quality()
                 .onRating(call.requestClass(), answer.version(), rating, threshold);
+        runtime.state().shared().evidence().onRating(answer.version().id(), rating);
         runtime.metrics()
                 .value("rating_percent", "version", answer.version().id().value(), percent(rating));
         boolean last = stage == stages.size() - 1;
@@ -193,16 +194,12 @@
                                 rating.ifPresent(
                                         value ->
                                                 runtime.control()
-                                                        .run(
-                                                                () ->
-                                                                        runtime.state()
-                                                                                .quality()
-                                                                                .onRating(
-                                                                                        call
-                                                                                                .requestClass(),
-                                                                                        version,
-                                                                                        value,
-                                                                                        target()))));
+                                                        .run(() -> onLateRating(version, value))));
+    }
+
+    private void onLateRating(ModelVersion version, double rating) {
+        runtime.state().quality().onRating(call.requestClass(), version, rating, target());
+        runtime.state().shared().evidence().onRating(version.id(), rating);
     }
 
     private void count(AttemptFinished finished) {
--- a/entry/src/main/java/org/wigeonferry/entry/Committer.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Committer.java
@@ -79,10 +79,15 @@
 
     /** Commits a note. */
     CompletableFuture<CommitResult> commit(ReleaseNote note) {
-        return attempt(note, MAX_TRIES);
+        return attempt(new CommitRequest(note, Optional.empty()), MAX_TRIES);
     }
 
-    private CompletableFuture<CommitResult> attempt(ReleaseNote note, int triesLeft) {
+    /** Commits a note on a further condition, such as a lease that is still held. */
+    CompletableFuture<CommitResult> commit(ReleaseNote note, RowCondition condition) {
+        return attempt(new CommitRequest(note, Optional.of(condition)), MAX_TRIES);
+    }
+
+    private CompletableFuture<CommitResult> attempt(CommitRequest request, int triesLeft) {
         if (triesLeft == 0) {
             return control.ask(
                     () ->
@@ -99,37 +104,42 @@
                                         : CompletableFuture.completedFuture(ReadResult.UNANSWERED))
                 .thenCompose(
                         head ->
-                                control.ask(() -> onHead(note, head, triesLeft))
+                                control.ask(() -> onHead(request, head, triesLeft))
                                         .thenCompose(result -> result));
     }
 
     private CompletableFuture<CommitResult> onHead(
-            ReleaseNote note, ReadResult head, int triesLeft) {
+            CommitRequest request, ReadResult head, int triesLeft) {
+        ReleaseNote note = request.note();
         if (!head.answered()) {
-            return retryLater(note, triesLeft);
+            return retryLater(request, triesLeft);
         }
         Revision newest = head.row().map(ConfigRows::revision).orElse(Revision.NONE);
         if (!newest.equals(state.catalog().revision())) {
-            return attempt(note, triesLeft - 1);
+            return attempt(request, triesLeft - 1);
         }
         Optional<CommitResult> misfit = misfit(note);
         if (misfit.isPresent()) {
             return committedBefore(note).thenApply(before -> before.orElse(misfit.get()));
         }
         Revision revision = newest.next();
-        return table.transact(transaction(note, revision, head.row()))
+        return table.transact(transaction(request, revision, head.row()))
                 .thenCompose(
                         result ->
-                                control.ask(() -> onWrite(note, revision, result, triesLeft))
+                                control.ask(() -> onWrite(request, revision, result, triesLeft))
                                         .thenCompose(done -> done));
     }
 
-    private TableTransaction transaction(ReleaseNote note, Revision revision, Optional<Row> head) {
+    private TableTransaction transaction(
+            CommitRequest request, Revision revision, Optional<Row> head) {
+        ReleaseNote note = request.note();
         String operation = ConfigRows.operationKey(note);
+        List<RowCondition> conditions = new ArrayList<>();
+        conditions.add(new RowCondition(ConfigRows.HEAD, head.map(Row::version)));
+        conditions.add(new RowCondition(operation, Optional.empty()));
+        request.condition().ifPresent(conditions::add);
         return new TableTransaction(
-                List.of(
-                        new RowCondition(ConfigRows.HEAD, head.map(Row::version)),
-                        new RowCondition(operation, Optional.empty())),
+                conditions,
                 List.of(
                         ConfigRows.head(revision),
                         ConfigRows.note(note, revision, System.currentTimeMillis()),
@@ -137,7 +147,18 @@
     }
 
     private CompletableFuture<CommitResult> onWrite(
-            ReleaseNote note, Revision revision, TransactResult result, int triesLeft) {
+            CommitRequest request, Revision revision, TransactResult result, int triesLeft) {
+        ReleaseNote note = request.note();
+        boolean conditionGone =
+                request.condition().filter(c -> result.failedKeys().contains(c.key())).isPresent();
+        if (conditionGone) {
+            return control.ask(
+                    () ->
+                            CommitResult.of(
+                                    CommitState.CONFLICT,
+                                    state.catalog().revision(),
+                                    "the condition no longer holds"));
+        }
         return switch (result.outcome()) {
             case APPLIED -> inForce(note, revision);
             case REFUSED ->
@@ -147,16 +168,16 @@
                                             before.isPresent()
                                                     ? CompletableFuture.completedFuture(
                                                             before.get())
-                                                    : attempt(note, triesLeft - 1));
-            case UNKNOWN -> retryLater(note, triesLeft);
+                                                    : attempt(request, triesLeft - 1));
+            case UNKNOWN -> retryLater(request, triesLeft);
         };
     }
 
-    private CompletableFuture<CommitResult> retryLater(ReleaseNote note, int triesLeft) {
+    private CompletableFuture<CommitResult> retryLater(CommitRequest request, int triesLeft) {
         CompletableFuture<CommitResult> result = new CompletableFuture<>();
         control.after(
                 RETRY_PAUSE,
-                () -> attempt(note, triesLeft - 1).whenComplete((r, f) -> pass(result, r, f)));
+                () -> attempt(request, triesLeft - 1).whenComplete((r, f) -> pass(result, r, f)));
         return result;
     }
 
--- a/entry/src/main/java/org/wigeonferry/entry/Entry.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Entry.java
@@ -12,10 +12,13 @@
 import org.wigeonferry.core_types.NodeId;
 import org.wigeonferry.core_types.StepException;
 import org.wigeonferry.core_types.ZoneId;
+import org.wigeonferry.decisions.LeaseView;
 import org.wigeonferry.decisions.Role;
+import org.wigeonferry.decisions.RollOutGates;
 import org.wigeonferry.node_runtime.ControlState;
 import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.Daemon;
+import org.wigeonferry.node_runtime.Dissemination;
 import org.wigeonferry.node_runtime.Exchanger;
 import org.wigeonferry.node_runtime.HttpClients;
 import org.wigeonferry.node_runtime.HttpServers;
@@ -39,7 +42,15 @@
  */
 public final class Entry implements Daemon {
     private static final Logger LOG = LoggerFactory.getLogger(Entry.class);
+
+    /** Peers that are told of news at once. */
+    private static final int FANOUT = 6;
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    /** Looks that a holder may miss before its lease lapses. */
+    private static final int LEASE_PERIODS = 3;
+
     private static final Duration EXCHANGE_TIMEOUT = Duration.ofSeconds(1);
 
     private final ControlThread control = new ControlThread("control");
@@ -68,7 +79,12 @@
         PeerCalls calls = new PeerCalls(peerClient, key);
         Exchanger exchanger =
                 new Exchanger(
-                        control, shared, calls, settings.value(NodeKeys.SEEDS), EXCHANGE_TIMEOUT);
+                        control,
+                        shared,
+                        calls,
+                        settings.value(NodeKeys.SEEDS),
+                        Dissemination.flat(FANOUT),
+                        EXCHANGE_TIMEOUT);
         bills = new BillKeeper(control, state, calls, table, metrics);
         EntryRuntime runtime = runtime(settings, calls, exchanger);
         StorePoller poller = new StorePoller(control, shared, table);
@@ -88,6 +104,7 @@
         poller.start(settings.value(EntryKeys.STORE_POLL));
         exchanger.start(settings.value(NodeKeys.EXCHANGE_PERIOD));
         bills.start(settings.value(EntryKeys.BILL_PERIOD));
+        driver(settings, table, committer).start(settings.value(EntryKeys.ROLLOUT_PERIOD));
         LOG.atInfo().addKeyValue("node", shared.identity().node()).log("entry up");
     }
 
@@ -141,6 +158,21 @@
                 metrics);
     }
 
+    private RollOutDriver driver(Settings settings, TableService table, Committer committer) {
+        Duration leaseLength = settings.value(EntryKeys.ROLLOUT_PERIOD).multipliedBy(LEASE_PERIODS);
+        LeaseView view = new LeaseView(shared.identity().incarnation(), leaseLength);
+        return new RollOutDriver(
+                control,
+                shared,
+                new LeaseKeeper(control, table, "lease/rollout", view),
+                committer::commit,
+                RollOutGates.evidence(
+                        settings.value(EntryKeys.ROLLOUT_SAMPLES),
+                        settings.value(EntryKeys.ROLLOUT_RATING_LOSS),
+                        settings.value(EntryKeys.ROLLOUT_ERROR_RISE)),
+                settings.value(EntryKeys.ROLLOUT_STEPS));
+    }
+
     private TableService table(Settings settings) {
         return new HttpTableService(
                 new JsonCalls(
--- a/entry/src/main/java/org/wigeonferry/entry/EntryKeys.java
+++ b/entry/src/main/java/org/wigeonferry/entry/EntryKeys.java
@@ -91,6 +91,41 @@
                     200_000,
                     "Most bills held, for each owner, until the store has them.");
 
+    /** Exposures of a roll-out. */
+    public static final SettingKey<List<Integer>> ROLLOUT_STEPS =
+            new SettingKey<>(
+                    "rollout",
+                    "steps",
+                    "percentages, rising, separated by commas",
+                    java.util.Optional.of("1,5,25,50,100"),
+                    "Exposures through which a roll-out goes.",
+                    text -> SettingKeys.words(text).stream().map(Integer::parseInt).toList());
+
+    /** Samples of a step. */
+    public static final SettingKey<Integer> ROLLOUT_SAMPLES =
+            SettingKeys.number(
+                    "rollout", "samples", 10, 100_000, 50, "Ratings needed to leave a step.");
+
+    /** Loss in rating that is borne. */
+    public static final SettingKey<Double> ROLLOUT_RATING_LOSS =
+            SettingKeys.decimal(
+                    "rollout", "rating-loss", 0, 1, 0.03, "Loss in mean rating that is borne.");
+
+    /** Rise in errors that is borne. */
+    public static final SettingKey<Double> ROLLOUT_ERROR_RISE =
+            SettingKeys.decimal(
+                    "rollout", "error-rise", 0, 1, 0.02, "Rise in the share of errors borne.");
+
+    /** Pause between looks. */
+    public static final SettingKey<Duration> ROLLOUT_PERIOD =
+            SettingKeys.millis(
+                    "rollout",
+                    "period-ms",
+                    100,
+                    600_000,
+                    2000,
+                    "Pause between looks at roll-outs.");
+
     private EntryKeys() {}
 
     /** All keys of an entry's settings. */
@@ -109,7 +144,12 @@
                         RETRY_SHARE,
                         DEFAULT_DEADLINE,
                         BILL_PERIOD,
-                        MAX_BILLS));
+                        MAX_BILLS,
+                        ROLLOUT_STEPS,
+                        ROLLOUT_SAMPLES,
+                        ROLLOUT_RATING_LOSS,
+                        ROLLOUT_ERROR_RISE,
+                        ROLLOUT_PERIOD));
         return keys;
     }
 
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ControlState.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ControlState.java
@@ -21,6 +21,7 @@
 import org.wigeonferry.core_types.Upstream;
 import org.wigeonferry.core_types.ZoneId;
 import org.wigeonferry.decisions.ConfigReplica;
+import org.wigeonferry.decisions.EvidenceBoard;
 import org.wigeonferry.decisions.FreshnessLedger;
 import org.wigeonferry.decisions.Holder;
 import org.wigeonferry.decisions.Peer;
@@ -49,6 +50,7 @@
     private final FreshnessLedger freshness;
     private final PeerView peers;
     private final SuspectRegister suspects = new SuspectRegister(MAX_SUSPECTS, SUSPECT_LIFETIME);
+    private final EvidenceBoard evidence = new EvidenceBoard();
     private final Map<NodeId, Holder> holders = new HashMap<>();
     private final List<Consumer<Catalog>> listeners = new ArrayList<>();
     private final List<Runnable> holderListeners = new ArrayList<>();
@@ -91,6 +93,11 @@
         return suspects;
     }
 
+    /** Evidence on versions. */
+    public EvidenceBoard evidence() {
+        return evidence;
+    }
+
     /** Tells a listener of every new catalog. */
     public void onCatalog(Consumer<Catalog> listener) {
         listeners.add(listener);
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanger.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanger.java
@@ -26,7 +26,6 @@
     public static final String PATH = "/peer/exchange";
 
     private static final Logger LOG = LoggerFactory.getLogger(Exchanger.class);
-    private static final int URGENT_FANOUT = 6;
     private static final int HOLDER_AGE_TIMEOUTS = 30;
 
     /** One exchange in so many goes to a seed, so that views that drifted apart meet again. */
@@ -34,9 +33,10 @@
 
     private final Control control;
     private final ControlState state;
-    private final PeerCalls calls;
+    private final PeerTransport calls;
     private final List<HostAddress> seeds;
     private final Duration timeout;
+    private final UrgentTargets urgentTargets;
     private final Random random = new Random();
     private int sent;
 
@@ -44,14 +44,16 @@
     public Exchanger(
             Control control,
             ControlState state,
-            PeerCalls calls,
+            PeerTransport calls,
             List<HostAddress> seeds,
+            UrgentTargets urgentTargets,
             Duration timeout) {
         this.control = control;
         this.state = state;
         this.calls = calls;
         this.seeds =
                 seeds.stream().filter(seed -> !seed.equals(state.identity().address())).toList();
+        this.urgentTargets = urgentTargets;
         this.timeout = timeout;
     }
 
@@ -69,7 +71,9 @@
     /** Tells several peers at once; call on the control thread. Ends when all have answered. */
     public CompletableFuture<Void> tellUrgently() {
         CompletableFuture<?>[] exchanges =
-                state.peers().sample(URGENT_FANOUT, control.nanoTime()).stream()
+                urgentTargets
+                        .choose(state.peers(), state.identity().zone(), control.nanoTime())
+                        .stream()
                         .map(this::exchange)
                         .toArray(CompletableFuture<?>[]::new);
         return CompletableFuture.allOf(exchanges);
@@ -148,7 +152,11 @@
         try {
             ExchangeMessage message = Codec.decode(body, new ExchangeMessage());
             long now = control.nanoTime();
+            Revision before = state.catalog().revision();
             Peer sender = Exchanges.takeOver(state, message, now);
+            if (before.isBefore(state.catalog().revision())) {
+                tellUrgently();
+            }
             if (state.catalog().revision().number() < message.getRevision()) {
                 exchange(sender.address());
             }
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanges.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanges.java
@@ -4,15 +4,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.Stream;
+import org.wigeonferry.core_types.Catalog;
 import org.wigeonferry.core_types.CommittedNote;
 import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.ModelVersion;
 import org.wigeonferry.core_types.NodeId;
 import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.core_types.VersionId;
 import org.wigeonferry.core_types.ZoneId;
 import org.wigeonferry.decisions.Peer;
 import org.wigeonferry.decisions.Role;
+import org.wigeonferry.decisions.RollOuts;
 import org.wigeonferry.decisions.Suspicion;
+import org.wigeonferry.decisions.VersionEvidence;
 import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.messages.gen.EvidenceMessage;
 import org.wigeonferry.messages.gen.ExchangeMessage;
 import org.wigeonferry.messages.gen.MemberMessage;
 import org.wigeonferry.messages.gen.NoteMessage;
@@ -44,7 +51,7 @@
                         .map(peer -> member(peer, nowNanos))
                         .toList());
         message.setSuspicions(suspicions(state, nowNanos));
-        message.setEvidence(List.of());
+        message.setEvidence(evidence(state));
         return message;
     }
 
@@ -66,6 +73,16 @@
                                                             s.isCondemned(),
                                                             nowNanos)));
             state.onHolder(sender, new Revision(message.getRevision()));
+            NodeId incarnation =
+                    new NodeId(sender.node() + "." + Long.toString(sender.epoch(), 36));
+            message.getEvidence()
+                    .forEach(
+                            e ->
+                                    state.evidence()
+                                            .onReport(
+                                                    incarnation,
+                                                    new VersionId(e.getVersion()),
+                                                    toEvidence(e)));
             return sender;
         } catch (IllegalArgumentException e) {
             throw new CodecException("read exchange", e);
@@ -115,6 +132,38 @@
                 .toList();
     }
 
+    /** Own evidence on the versions of roll-outs and on those they replace. */
+    private static List<EvidenceMessage> evidence(ControlState state) {
+        Catalog catalog = state.catalog();
+        return RollOuts.underWay(catalog).stream()
+                .flatMap(
+                        version ->
+                                Stream.concat(
+                                        Stream.of(version),
+                                        RollOuts.baseline(version, catalog).stream()))
+                .map(ModelVersion::id)
+                .distinct()
+                .map(id -> toMessage(id, state.evidence().own(id)))
+                .toList();
+    }
+
+    private static EvidenceMessage toMessage(VersionId version, VersionEvidence evidence) {
+        return new EvidenceMessage(
+                version.value(),
+                evidence.answers(),
+                evidence.errors(),
+                evidence.ratings(),
+                evidence.ratingSum());
+    }
+
+    private static VersionEvidence toEvidence(EvidenceMessage message) {
+        return new VersionEvidence(
+                message.getAnswers(),
+                message.getErrors(),
+                message.getRatings(),
+                message.getRatingSum());
+    }
+
     private static NoteMessage toMessage(CommittedNote note) {
         return new NoteMessage(note.revision().number(), note.text(), note.snapshot());
     }
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/PeerCalls.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/PeerCalls.java
@@ -16,7 +16,7 @@
  *
  * <p>Immutable and thread safe.
  */
-public final class PeerCalls {
+public final class PeerCalls implements PeerTransport {
     /** Header that carries the secret of this system's processes. */
     public static final String KEY_HEADER = "X-Wigeonferry-Peer-Key";
 
@@ -44,7 +44,7 @@
                 .timeout(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
     }
 
-    /** Sends a body and receives the whole reply; fails without a reply of status 200. */
+    @Override
     public CompletableFuture<byte[]> call(
             HostAddress peer, String path, byte[] body, Duration timeout) {
         Request request = request(peer, path, body, timeout);
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/UrgentTargets.java
@@ -0,0 +1,17 @@
+package org.wigeonferry.node_runtime;
+
+import java.util.List;
+import org.wigeonferry.core_types.ZoneId;
+import org.wigeonferry.decisions.Peer;
+import org.wigeonferry.decisions.PeerView;
+
+/**
+ * Chooses the peers that are told of news at once.
+ *
+ * <p>Implementations are called on the control thread.
+ */
+@FunctionalInterface
+public interface UrgentTargets {
+    /** Chooses among the peers of a process in a zone. */
+    List<Peer> choose(PeerView peers, ZoneId zone, long nowNanos);
+}
