--- a/command_line/src/test/java/org/wigeonferry/command_line/FailureHarness.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/FailureHarness.java
@@ -145,6 +145,10 @@
         post(engine.address(), "/control/crash").exceptionally(e -> null).join();
     }
 
+    void leave(DemoUpstream upstream) {
+        post(upstream.address(), "/control/leave").join();
+    }
+
     /** Sends a signal to a process of the deployment. */
     void signal(String process, String signal) throws StepException {
         long pid = deployment.process(process).orElseThrow().pid();
--- a/command_line/src/test/java/org/wigeonferry/command_line/ProcessFailureTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/ProcessFailureTest.java
@@ -122,6 +122,18 @@
         assertThat(harness.ledgers().crashes()).as("engines lost").isLessThanOrEqualTo(2);
     }
 
+    @Test
+    void leavingUpstreamReceivesNothingNew() throws StepException {
+        harness.chats(60, PACE, "auto", 0, 1, 2).join();
+        DemoUpstream engine = harness.engine(0);
+        harness.leave(engine);
+        harness.pause(Duration.ofSeconds(2));
+        int before = harness.ledgers().starts(engine::equals);
+        List<DemoOutcome> outcomes = harness.chats(100, PACE, "auto", 0, 1, 2).join();
+        assertThat(outcomes).allMatch(o -> o.end() == DemoEnd.ANSWERED);
+        assertThat(harness.ledgers().starts(engine::equals)).isEqualTo(before);
+    }
+
     @Test
     void racingOperatorsAllGetARevisionOfTheirOwn() throws StepException {
         List<CompletableFuture<JsonReply>> replies = new ArrayList<>();
--- a/entry/src/main/java/org/wigeonferry/entry/AttemptClient.java
+++ b/entry/src/main/java/org/wigeonferry/entry/AttemptClient.java
@@ -41,7 +41,7 @@
         }
         Request request = calls.request(upstream.agentAddress(), PATH, message, order.remaining());
         AttemptReader reader =
-                new AttemptReader(order, upstream, resumeOffset, listener, request::abort);
+                new AttemptReader(order, upstream.id(), resumeOffset, listener, request::abort);
         request.onResponseBegin(reader::onBegin)
                 .onResponseContentAsync(reader::onContent)
                 .send(reader::onComplete);
--- a/entry/src/main/java/org/wigeonferry/entry/AttemptReader.java
+++ b/entry/src/main/java/org/wigeonferry/entry/AttemptReader.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -14,7 +15,7 @@
 import org.wigeonferry.core_types.RefusalReason;
 import org.wigeonferry.core_types.Revision;
 import org.wigeonferry.core_types.StartOrder;
-import org.wigeonferry.core_types.Upstream;
+import org.wigeonferry.core_types.UpstreamId;
 import org.wigeonferry.messages.CodecException;
 import org.wigeonferry.messages.FrameReader;
 import org.wigeonferry.messages.Frames;
@@ -38,18 +39,19 @@
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final StartOrder order;
-    private final Upstream upstream;
+    private final UpstreamId upstream;
     private final ByteListener listener;
     private final Consumer<Throwable> abort;
     private final FrameReader frames = new FrameReader();
     private final CompletableFuture<AttemptResult> result = new CompletableFuture<>();
     private long offset;
     private boolean responded;
+    private boolean broken;
     private Optional<AttemptResult> last = Optional.empty();
 
     AttemptReader(
             StartOrder order,
-            Upstream upstream,
+            UpstreamId upstream,
             long resumeOffset,
             ByteListener listener,
             Consumer<Throwable> abort) {
@@ -73,12 +75,18 @@
             demand.run();
             return;
         }
+        onBytes(chunk.getByteBuffer(), demand);
+    }
+
+    /** Takes the next bytes of an answer. */
+    void onBytes(ByteBuffer bytes, Runnable demand) {
         ByteArrayOutputStream data = new ByteArrayOutputStream();
         try {
-            for (FrameMessage frame : frames.read(chunk.getByteBuffer())) {
+            for (FrameMessage frame : frames.read(bytes)) {
                 take(frame, data);
             }
         } catch (CodecException e) {
+            broken = true;
             abort.accept(e);
             return;
         }
@@ -90,25 +98,30 @@
     }
 
     void onComplete(Result end) {
-        if (last.isPresent()) {
-            result.complete(last.get());
+        boolean failed = end.getFailure() != null;
+        if (last.isEmpty() && !responded && end.getFailure() instanceof ConnectException) {
+            result.complete(notConnected("agent took no order"));
             return;
         }
-        if (!responded && end.getFailure() instanceof ConnectException) {
-            result.complete(notConnected("agent took no order"));
+        if (last.isEmpty() && !failed && rejected(end.getResponse().getStatus())) {
+            result.complete(notConnected("agent rejected the order"));
             return;
         }
-        if (end.getFailure() == null && end.getResponse().getStatus() < FIRST_SERVER_ERROR) {
-            boolean rejected = end.getResponse().getStatus() != OK;
-            if (rejected) {
-                result.complete(notConnected("agent rejected the order"));
-                return;
-            }
+        result.complete(ended(!failed));
+    }
+
+    /** How the attempt ended, judged by the frames that came. */
+    AttemptResult ended(boolean wholeResponse) {
+        if (last.isPresent() && !broken) {
+            return last.get();
         }
-        String cause = end.getFailure() == null ? "no end mark" : end.getFailure().toString();
-        result.complete(
-                new AttemptFailed(
-                        "receive answer at " + upstream.id() + ": " + cause, false, false));
+        String cause = wholeResponse ? "no end mark" : "connection lost";
+        return new AttemptFailed("receive answer at " + upstream + ": " + cause, false, false);
+    }
+
+    /** A request that the agent's server refused as malformed was never run. */
+    private static boolean rejected(int status) {
+        return status != OK && status < FIRST_SERVER_ERROR;
     }
 
     private void take(FrameMessage frame, ByteArrayOutputStream data) throws CodecException {
@@ -131,7 +144,7 @@
                             new AttemptFailed(
                                     failure.getStep()
                                             + " at "
-                                            + upstream.id()
+                                            + upstream
                                             + ": "
                                             + failure.getDetail(),
                                     failure.isCrashed(),
--- /dev/null
+++ b/entry/src/test/java/org/wigeonferry/entry/AttemptReaderTest.java
@@ -0,0 +1,114 @@
+package org.wigeonferry.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.AccountId;
+import org.wigeonferry.core_types.NodeId;
+import org.wigeonferry.core_types.Refusal;
+import org.wigeonferry.core_types.RefusalReason;
+import org.wigeonferry.core_types.RequestId;
+import org.wigeonferry.core_types.Revision;
+import org.wigeonferry.core_types.StartOrder;
+import org.wigeonferry.core_types.UpstreamId;
+import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.messages.FrameWriter;
+import org.wigeonferry.messages.Frames;
+import org.wigeonferry.messages.gen.EndMessage;
+import org.wigeonferry.messages.gen.FrameMessage;
+
+/** Answers that come whole, crossed, cut, or with a gap. */
+class AttemptReaderTest {
+    private final StartOrder order = order("r1");
+    private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+    private final List<Throwable> aborts = new ArrayList<>();
+    private final AttemptReader reader =
+            new AttemptReader(order, new UpstreamId("engine-1"), 0, this::receive, aborts::add);
+
+    @Test
+    void wholeAnswerIsFinished() throws CodecException {
+        read(chunk(order, 0, "he"), chunk(order, 2, "llo"), end(order, 5));
+        assertThat(reader.ended(true)).isInstanceOf(AttemptFinished.class);
+        assertThat(received.toString(StandardCharsets.UTF_8)).isEqualTo("hello");
+    }
+
+    @Test
+    void frameOfAnotherRequestIsNotTaken() throws CodecException {
+        read(chunk(order("r2"), 0, "crossed"));
+        assertThat(aborts).hasSize(1);
+        assertThat(received.size()).isZero();
+        assertThat(reader.ended(true)).isInstanceOf(AttemptFailed.class);
+    }
+
+    @Test
+    void frameOfAnotherAttemptIsNotTaken() throws CodecException {
+        read(chunk(order.toBuilder().attempt(7).build(), 0, "late"));
+        assertThat(aborts).hasSize(1);
+    }
+
+    @Test
+    void gapIsNotAnAnswer() throws CodecException {
+        read(chunk(order, 0, "he"), chunk(order, 3, "lo"), end(order, 5));
+        assertThat(aborts).hasSize(1);
+        assertThat(reader.ended(true)).isInstanceOf(AttemptFailed.class);
+    }
+
+    @Test
+    void answerWithoutItsEndMarkIsUnknown() throws CodecException {
+        read(chunk(order, 0, "he"));
+        assertThat(reader.ended(true)).isInstanceOf(AttemptFailed.class);
+    }
+
+    @Test
+    void endMarkOfAnotherLengthIsNotAnAnswer() throws CodecException {
+        read(chunk(order, 0, "he"), end(order, 5));
+        assertThat(reader.ended(true)).isInstanceOf(AttemptFailed.class);
+    }
+
+    @Test
+    void refusalIsNotRun() throws CodecException {
+        Refusal refusal = Refusal.of(RefusalReason.ZONE_OUT, "out");
+        read(Frames.refusal(order, refusal, new Revision(3), 0, 1));
+        assertThat(reader.ended(true)).isEqualTo(new AttemptRefused(refusal, new Revision(3)));
+    }
+
+    @Test
+    void lossBeforeAnyFrameIsUnknown() {
+        assertThat(reader.ended(false)).isInstanceOf(AttemptFailed.class);
+    }
+
+    private void receive(byte[] data, Callback taken) {
+        received.writeBytes(data);
+        taken.succeeded();
+    }
+
+    private void read(FrameMessage... frames) throws CodecException {
+        ByteBuffer all = ByteBuffer.allocate(4096);
+        for (FrameMessage frame : frames) {
+            all.put(FrameWriter.write(frame));
+        }
+        reader.onBytes(all.flip(), () -> {});
+    }
+
+    private static FrameMessage chunk(StartOrder order, long offset, String text) {
+        return Frames.chunk(order, offset, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static FrameMessage end(StartOrder order, long length) {
+        return Frames.end(order, new EndMessage(length, "small-1", 1, 0, 1, 200, false));
+    }
+
+    private static StartOrder order(String id) {
+        return StartOrder.builder()
+                .entry(new NodeId("entry-1"))
+                .requestId(new RequestId(id))
+                .account(new AccountId("palace"))
+                .build();
+    }
+}
--- /dev/null
+++ b/measurements/src/main/java/org/wigeonferry/measurements/CostExperiment.java
@@ -0,0 +1,192 @@
+package org.wigeonferry.measurements;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.ToIntFunction;
+import org.wigeonferry.core_types.AccountId;
+import org.wigeonferry.core_types.Catalog;
+import org.wigeonferry.core_types.ClassId;
+import org.wigeonferry.core_types.ClientAccount;
+import org.wigeonferry.core_types.ModelVersion;
+import org.wigeonferry.core_types.RequestClass;
+import org.wigeonferry.core_types.RequestId;
+import org.wigeonferry.core_types.VersionId;
+import org.wigeonferry.decisions.AcceptanceThreshold;
+import org.wigeonferry.decisions.CascadePolicy;
+import org.wigeonferry.decisions.QualityTable;
+import org.wigeonferry.decisions.StagePolicy;
+import org.wigeonferry.decisions.StageQuery;
+
+/**
+ * Cost at the quality target: the cascade against baselines and an oracle with hindsight.
+ *
+ * <p>Not thread safe.
+ */
+final class CostExperiment {
+    private static final int REQUESTS = 40_000;
+    private static final double TARGET = 0.7;
+    private static final long SEED = 20_261_204;
+    private static final ClassId CLASS = new ClassId("draft");
+
+    private final List<double[]> requests = new ArrayList<>();
+
+    private CostExperiment(CostMix mix) {
+        Random random = new Random(SEED);
+        for (int i = 0; i < REQUESTS; i++) {
+            requests.add(mix.ratings(i, random));
+        }
+    }
+
+    /** Rows of the page for a mix. */
+    static String rows(String name) {
+        CostExperiment experiment = new CostExperiment(CostMixes.named(name));
+        List<CostResult> results = new ArrayList<>();
+        CostResult oracle = experiment.oracle();
+        results.add(experiment.fixed("always cheapest", r -> 0));
+        results.add(experiment.fixed("always best", r -> CostMixes.COSTS.length - 1));
+        results.add(experiment.randomStart());
+        results.add(experiment.cascade());
+        results.add(oracle);
+        StringBuilder rows = new StringBuilder();
+        for (CostResult result : results) {
+            rows.append(
+                    String.format(
+                            Locale.ROOT,
+                            "| %s | %s | %.3f | %s | %.3f | %.2f |%n",
+                            name,
+                            result.policy(),
+                            result.quality(),
+                            result.quality() >= TARGET - 0.0005 ? "yes" : "no",
+                            result.cost(),
+                            result.cost() / oracle.cost()));
+        }
+        return rows.toString();
+    }
+
+    private CostResult fixed(String name, ToIntFunction<double[]> choice) {
+        double cost = 0;
+        double quality = 0;
+        for (double[] ratings : requests) {
+            int version = choice.applyAsInt(ratings);
+            cost += CostMixes.COSTS[version];
+            quality += ratings[version];
+        }
+        return result(name, cost, quality);
+    }
+
+    private CostResult randomStart() {
+        Random random = new Random(SEED + 1);
+        double cost = 0;
+        double quality = 0;
+        for (double[] ratings : requests) {
+            int version = random.nextInt(CostMixes.COSTS.length);
+            cost += CostMixes.COSTS[version];
+            while (ratings[version] < TARGET && version < CostMixes.COSTS.length - 1) {
+                version++;
+                cost += CostMixes.COSTS[version];
+            }
+            quality += ratings[version];
+        }
+        return result("random start, escalate below target", cost, quality);
+    }
+
+    private CostResult cascade() {
+        QualityTable table = new QualityTable();
+        AcceptanceThreshold thresholds = new AcceptanceThreshold();
+        StagePolicy policy = CascadePolicy.policy(table, thresholds, new Random(SEED + 2));
+        Catalog catalog = catalog();
+        ClientAccount account = catalog.accounts().values().iterator().next();
+        double cost = 0;
+        double quality = 0;
+        for (int i = 0; i < requests.size(); i++) {
+            StageQuery query =
+                    new StageQuery(
+                            account,
+                            new RequestId("r" + i),
+                            CLASS,
+                            Optional.empty(),
+                            Optional.empty(),
+                            false);
+            List<ModelVersion> stages = policy.stages(query, catalog);
+            for (int stage = 0; stage < stages.size(); stage++) {
+                ModelVersion version = stages.get(stage);
+                int index = index(version);
+                double rating = requests.get(i)[index];
+                double threshold = thresholds.threshold(CLASS, TARGET);
+                cost += CostMixes.COSTS[index];
+                table.onRating(CLASS, version, rating, threshold);
+                if (rating >= threshold || stage == stages.size() - 1) {
+                    quality += rating;
+                    thresholds.onDelivered(CLASS, TARGET, rating);
+                    break;
+                }
+            }
+        }
+        return result("**wigeonferry's cascade**", cost, quality);
+    }
+
+    /**
+     * Knows every rating beforehand: pays for one version a request, as little as the mean allows.
+     */
+    private CostResult oracle() {
+        double low = 0;
+        double high = 1000;
+        for (int i = 0; i < 60; i++) {
+            double price = (low + high) / 2;
+            boolean met = fixed("", r -> cheapestAt(r, price)).quality() >= TARGET;
+            low = met ? low : price;
+            high = met ? price : high;
+        }
+        double price = high;
+        return fixed("oracle with hindsight", r -> cheapestAt(r, price));
+    }
+
+    private static int cheapestAt(double[] ratings, double price) {
+        int best = 0;
+        for (int i = 1; i < ratings.length; i++) {
+            double gain = price * (ratings[i] - ratings[best]);
+            best = gain > CostMixes.COSTS[i] - CostMixes.COSTS[best] ? i : best;
+        }
+        return best;
+    }
+
+    private CostResult result(String name, double cost, double quality) {
+        return new CostResult(name, cost / requests.size(), quality / requests.size());
+    }
+
+    private static int index(ModelVersion version) {
+        return Integer.parseInt(version.model().substring(1));
+    }
+
+    private static Catalog catalog() {
+        Map<VersionId, ModelVersion> versions = new HashMap<>();
+        double[] expected = {0.5, 0.7, 0.9};
+        for (int i = 0; i < CostMixes.COSTS.length; i++) {
+            VersionId id = new VersionId("m" + i + "-1");
+            versions.put(
+                    id,
+                    ModelVersion.builder()
+                            .id(id)
+                            .model("m" + i)
+                            .costMicrosPerToken(CostMixes.COSTS[i])
+                            .expectedQuality(expected[i])
+                            .build());
+        }
+        ClientAccount account =
+                ClientAccount.builder()
+                        .id(new AccountId("palace"))
+                        .versions(versions.keySet())
+                        .build();
+        RequestClass type = RequestClass.builder().id(CLASS).qualityTarget(TARGET).build();
+        return Catalog.builder()
+                .versions(versions)
+                .accounts(Map.of(account.id(), account))
+                .classes(Map.of(CLASS, type))
+                .build();
+    }
+}
