Put a price on quality, and let the ramp rise by the engine's warm-up

Change: each class has a price for a point of rating, moved by the mean of what is delivered against the target; start and escalation are decided at that price, gains are learnt by pair of versions and rating; the best answer of a cascade is delivered. The ramp needs `agent.answers-per-rise` good first tokens (12) for a rise. The choice experiment now runs at the 80% load that it says. The mutation of the blind commit gets the two revisions it needs.

--- a/agent/src/main/java/org/wigeonferry/agent/Admission.java
+++ b/agent/src/main/java/org/wigeonferry/agent/Admission.java
@@ -36,6 +36,7 @@
         this.ramp =
                 new ColdStartRamp(
                         1,
+                        settings.value(AgentKeys.ANSWERS_PER_RISE),
                         settings.value(AgentKeys.SLOW_FIRST_TOKEN),
                         settings.value(AgentKeys.EVIDENCE_LIFETIME));
         this.gate =
--- a/agent/src/main/java/org/wigeonferry/agent/AgentKeys.java
+++ b/agent/src/main/java/org/wigeonferry/agent/AgentKeys.java
@@ -42,12 +42,29 @@
                     10_000,
                     "Without a good first token for so long, the load limit falls to a quarter.");
 
+    /** Good first tokens for a rise of the limit. */
+    public static final SettingKey<Integer> ANSWERS_PER_RISE =
+            SettingKeys.number(
+                    "agent",
+                    "answers-per-rise",
+                    1,
+                    10_000,
+                    12,
+                    "Fewest good first tokens for a rise of the load limit by one; at least the"
+                            + " answers in which the engine comes to bear one request more.");
+
     private AgentKeys() {}
 
     /** All keys of an agent's settings. */
     public static List<SettingKey<?>> all() {
         List<SettingKey<?>> keys = new ArrayList<>(NodeKeys.all());
-        keys.addAll(List.of(UPSTREAM, UPSTREAM_ADDRESS, SLOW_FIRST_TOKEN, EVIDENCE_LIFETIME));
+        keys.addAll(
+                List.of(
+                        UPSTREAM,
+                        UPSTREAM_ADDRESS,
+                        SLOW_FIRST_TOKEN,
+                        EVIDENCE_LIFETIME,
+                        ANSWERS_PER_RISE));
         return keys;
     }
 }
--- a/decisions/src/main/java/org/wigeonferry/decisions/ColdStartRamp.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/ColdStartRamp.java
@@ -6,16 +6,16 @@
  * Limits the load on an upstream that may be in a cold start.
  *
  * <p>The limit is one after a loss of the engine. It rises by one after as many good first tokens
- * as the limit itself, and only while the load comes near the limit. It halves on a slow first
- * token. Without a good first token for the evidence lifetime it falls to a quarter, since the
- * engine may have returned to a cold start unseen. It never rises on a timer.
+ * as the limit itself, or as set if that is more, and only while the load comes near the limit. It
+ * halves on a slow first token. Without a good first token for the evidence lifetime it falls to a
+ * quarter, since the engine may have returned to a cold start unseen. It never rises on a timer.
  *
  * <p>Invariant: {@code 1 <= limit <= max}. Not thread safe; owned by the control thread.
  */
 public final class ColdStartRamp {
     private static final int IDLE_DIVISOR = 4;
-    private static final int MIN_GOOD_ANSWERS = 4;
 
+    private final int answersPerRise;
     private final Duration slowFirstToken;
     private final Duration evidenceLifetime;
     private int max;
@@ -27,11 +27,15 @@
      * Starts cold.
      *
      * @param max most attempts in flight when warm
+     * @param answersPerRise fewest good first tokens for a rise by one; an engine that warms up
+     *     more slowly than this is offered more than it bears
      * @param slowFirstToken first tokens later than this are a sign of overload
      * @param evidenceLifetime how long a good first token vouches for the limit
      */
-    public ColdStartRamp(int max, Duration slowFirstToken, Duration evidenceLifetime) {
+    public ColdStartRamp(
+            int max, int answersPerRise, Duration slowFirstToken, Duration evidenceLifetime) {
         this.max = max;
+        this.answersPerRise = answersPerRise;
         this.slowFirstToken = slowFirstToken;
         this.evidenceLifetime = evidenceLifetime;
     }
@@ -71,7 +75,7 @@
             return;
         }
         goodAnswers++;
-        if (goodAnswers < Math.max(MIN_GOOD_ANSWERS, limit)) {
+        if (goodAnswers < Math.max(answersPerRise, limit)) {
             return;
         }
         goodAnswers = 0;
--- a/decisions/src/main/java/org/wigeonferry/decisions/QualityTable.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/QualityTable.java
@@ -6,7 +6,7 @@
 import org.wigeonferry.core_types.ModelVersion;
 
 /**
- * Learns how well each version answers each class, from ratings.
+ * Learns how well each version answers each class, from ratings of first stages.
  *
  * <p>Old ratings fade, so that a drift shows. Invariant: at most {@link #MAX_ENTRIES} pairs are
  * kept. Not thread safe; owned by the control thread.
@@ -30,15 +30,9 @@
         return record(type, version).expectedRating(version.expectedQuality());
     }
 
-    /** Share of answers that is expected to be accepted at a threshold. */
-    public double expectedAcceptance(ClassId type, ModelVersion version, double threshold) {
-        return record(type, version).expectedAcceptance(version.expectedQuality(), threshold);
-    }
-
-    /** Notes a rating. */
-    public void onRating(ClassId type, ModelVersion version, double rating, double threshold) {
-        String key = key(type, version);
-        records.put(key, record(type, version).with(rating, rating >= threshold));
+    /** Notes the rating of a first stage; later stages get harder requests. */
+    public void onRating(ClassId type, ModelVersion version, double rating) {
+        records.put(key(type, version), record(type, version).with(rating));
     }
 
     private QualityRecord record(ClassId type, ModelVersion version) {
--- a/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
@@ -1,6 +1,5 @@
 package org.wigeonferry.entry;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.eclipse.jetty.server.Response;
@@ -11,6 +10,7 @@
 import org.wigeonferry.core_types.RefusalReason;
 import org.wigeonferry.core_types.RequestClass;
 import org.wigeonferry.core_types.VersionId;
+import org.wigeonferry.decisions.Cascade;
 import org.wigeonferry.decisions.StageQuery;
 import org.wigeonferry.node_runtime.ApiError;
 import org.wigeonferry.node_runtime.Replies;
@@ -19,8 +19,8 @@
  * Takes one chat-completions request through its stages to its answer.
  *
  * <p>A streamed answer has one stage, since it can't be taken back. Any other is rated after each
- * stage but the last, and escalates while the rating lies below the class's threshold; without a
- * rating the answer is delivered. Steps follow one another, so no lock is needed.
+ * stage and goes on to the next while that is worth its cost; the best answer is delivered. Without
+ * a rating the answer is delivered as it is. Steps follow one another, so no lock is needed.
  */
 final class ChatCall {
     private static final int OK = 200;
@@ -35,7 +35,8 @@
     private int stage;
     private long tokens;
     private long costMicros;
-    private Optional<DeliverableAnswer> fallback = Optional.empty();
+    private Optional<DeliverableAnswer> best = Optional.empty();
+    private double bestRating;
 
     ChatCall(
             Call call,
@@ -62,7 +63,7 @@
                         Optional.of(chat.model()).filter(this::namesModel),
                         session,
                         chat.stream());
-        stages = runtime.state().stages().stages(query, runtime.state().shared().catalog());
+        stages = runtime.state().cascade().stages(query, runtime.state().shared().catalog());
         runtime.state().retries().onRequest();
         if (stages.isEmpty()) {
             end(
@@ -97,8 +98,8 @@
 
     private void onCollected(AttemptResult result, CollectedAnswer answer) {
         if (!(result instanceof AttemptFinished finished)) {
-            if (fallback.isPresent()) {
-                deliver(fallback.get());
+            if (best.isPresent()) {
+                deliver(best.get());
                 return;
             }
             fail(result);
@@ -123,23 +124,39 @@
     }
 
     private void onRating(DeliverableAnswer answer, double rating) {
-        double target = target();
-        double threshold = runtime.state().thresholds().threshold(call.requestClass(), target);
-        runtime.state()
-                .quality()
-                .onRating(call.requestClass(), answer.version(), rating, threshold);
-        runtime.state().shared().evidence().onRating(answer.version().id(), rating);
-        runtime.metrics()
-                .value("rating_percent", "version", answer.version().id().value(), percent(rating));
-        boolean last = stage == stages.size() - 1;
-        if (rating >= threshold || last) {
-            runtime.state().thresholds().onDelivered(call.requestClass(), target, rating);
-            deliver(answer);
+        ModelVersion version = answer.version();
+        runtime.state().shared().evidence().onRating(version.id(), rating);
+        runtime.metrics().value("rating_percent", "version", version.id().value(), percent(rating));
+        learnFrom(version, rating);
+        if (best.isEmpty() || rating > bestRating) {
+            best = Optional.of(answer);
+            bestRating = rating;
+        }
+        if (escalates(version)) {
+            stage++;
+            runStage();
             return;
         }
-        fallback = Optional.of(answer);
-        stage++;
-        runStage();
+        runtime.state().cascade().onDelivered(call.requestClass(), target(), bestRating);
+        deliver(best.get());
+    }
+
+    private void learnFrom(ModelVersion version, double rating) {
+        Cascade cascade = runtime.state().cascade();
+        if (stage == 0) {
+            cascade.onFirstStage(call.requestClass(), version, rating);
+            return;
+        }
+        ModelVersion before = stages.get(stage - 1);
+        cascade.onFurtherStage(call.requestClass(), before, version, bestRating, rating);
+    }
+
+    private boolean escalates(ModelVersion version) {
+        boolean last = stage == stages.size() - 1;
+        return !last
+                && runtime.state()
+                        .cascade()
+                        .escalates(call.requestClass(), version, stages.get(stage + 1), bestRating);
     }
 
     private static long percent(double rating) {
@@ -198,7 +215,8 @@
     }
 
     private void onLateRating(ModelVersion version, double rating) {
-        runtime.state().quality().onRating(call.requestClass(), version, rating, target());
+        runtime.state().cascade().onFirstStage(call.requestClass(), version, rating);
+        runtime.state().cascade().onDelivered(call.requestClass(), target(), rating);
         runtime.state().shared().evidence().onRating(version.id(), rating);
     }
 
@@ -271,18 +289,6 @@
     }
 
     private void leave(String outcome) {
-        String account = call.account().id().value();
-        Duration latency = Duration.ofNanos(System.nanoTime() - call.arrivedNanos());
-        runtime.metrics().time("latency", "account", account, latency);
-        runtime.metrics().time("latency", "class", call.requestClass().value(), latency);
-        runtime.metrics().value("cost_micros", "class", call.requestClass().value(), costMicros);
-        runtime.metrics().value("stages", "class", call.requestClass().value(), stage + 1L);
-        runtime.metrics().count("requests_" + outcome, "account", account);
-        runtime.control()
-                .run(
-                        () -> {
-                            runtime.state().limits().leave(call.account().id());
-                            runtime.state().checkIdle();
-                        });
+        CallEnd.leave(call, runtime, outcome, stage + 1, costMicros);
     }
 }
--- a/entry/src/main/java/org/wigeonferry/entry/EntryState.java
+++ b/entry/src/main/java/org/wigeonferry/entry/EntryState.java
@@ -2,13 +2,10 @@
 
 import java.util.Random;
 import org.wigeonferry.core_types.Catalog;
-import org.wigeonferry.decisions.AcceptanceThreshold;
 import org.wigeonferry.decisions.AccountLimits;
 import org.wigeonferry.decisions.BillLedger;
-import org.wigeonferry.decisions.CascadePolicy;
-import org.wigeonferry.decisions.QualityTable;
+import org.wigeonferry.decisions.Cascade;
 import org.wigeonferry.decisions.RetryBudget;
-import org.wigeonferry.decisions.StagePolicy;
 import org.wigeonferry.decisions.SubsetSelection;
 import org.wigeonferry.decisions.UpstreamChoices;
 import org.wigeonferry.decisions.UpstreamRouter;
@@ -25,9 +22,7 @@
 
     private final ControlState shared;
     private final UpstreamRouter router;
-    private final QualityTable quality = new QualityTable();
-    private final AcceptanceThreshold thresholds = new AcceptanceThreshold();
-    private final StagePolicy stages;
+    private final Cascade cascade;
     private final AccountLimits limits = new AccountLimits();
     private final RetryBudget retries;
     private final BillLedger bills;
@@ -40,7 +35,7 @@
         SubsetSelection subsets =
                 new SubsetSelection(shared.identity().node(), settings.value(EntryKeys.SUBSET));
         router = new UpstreamRouter(subsets, UpstreamChoices.betterOfTwo(random));
-        stages = CascadePolicy.policy(quality, thresholds, random);
+        cascade = new Cascade(random);
         retries = new RetryBudget(settings.value(EntryKeys.RETRY_SHARE), RETRY_BURST);
         bills = new BillLedger(settings.value(EntryKeys.MAX_BILLS));
         shared.onCatalog(this::onCatalog);
@@ -54,16 +49,8 @@
         return router;
     }
 
-    QualityTable quality() {
-        return quality;
-    }
-
-    AcceptanceThreshold thresholds() {
-        return thresholds;
-    }
-
-    StagePolicy stages() {
-        return stages;
+    Cascade cascade() {
+        return cascade;
     }
 
     AccountLimits limits() {
@@ -98,6 +85,6 @@
 
     private void onCatalog(Catalog catalog) {
         router.onCatalog(catalog);
-        thresholds.retain(catalog.classes().keySet());
+        cascade.onCatalog(catalog);
     }
 }
--- a/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
@@ -121,15 +121,16 @@
             Response response,
             Callback callback) {
         if (!(result instanceof AttemptFinished finished)) {
-            leave(call);
-            Replies.error(response, callback, error(result));
+            ApiError error = error(result);
+            leave(call, error.code());
+            Replies.error(response, callback, error);
             return;
         }
         runtime.bills()
                 .secure(bill(call, target))
                 .thenAccept(
                         secured -> {
-                            leave(call);
+                            leave(call, secured ? "answered" : "failed");
                             if (!secured) {
                                 Replies.error(
                                         response,
@@ -175,16 +176,7 @@
         return Errors.unknown(result instanceof AttemptFailed failed ? failed.detail() : "");
     }
 
-    private void leave(Call call) {
-        java.time.Duration latency =
-                java.time.Duration.ofNanos(System.nanoTime() - call.arrivedNanos());
-        runtime.metrics().time("latency", "account", call.account().id().value(), latency);
-        runtime.metrics().time("latency", "class", call.requestClass().value(), latency);
-        runtime.control()
-                .run(
-                        () -> {
-                            runtime.state().limits().leave(call.account().id());
-                            runtime.state().checkIdle();
-                        });
+    private void leave(Call call, String outcome) {
+        CallEnd.leave(call, runtime, outcome, 1, CALL_COST_MICROS);
     }
 }
--- a/measurements/src/main/java/org/wigeonferry/measurements/QueueingExperiment.java
+++ b/measurements/src/main/java/org/wigeonferry/measurements/QueueingExperiment.java
@@ -106,7 +106,8 @@
     }
 
     private void run() {
-        double meanGapNanos = SERVICE.toNanos() / (LOAD * UPSTREAMS * SLOTS);
+        double meanNanos = SERVICE.plus(FIRST_TOKEN).toNanos();
+        double meanGapNanos = meanNanos / (LOAD * UPSTREAMS * SLOTS);
         double at = 0;
         for (int i = 0; i < REQUESTS; i++) {
             at += -Math.log(1 - random.nextDouble()) * meanGapNanos;
--- a/spec/configuration.pml
+++ b/spec/configuration.pml
@@ -14,7 +14,9 @@
  * -DBLIND_COMMIT commits without the condition on the head.
  */
 #define N 3
-#ifndef MAXREV
+#ifdef BLIND_COMMIT
+#define MAXREV 2         /* it takes two commits to overwrite one */
+#else
 #define MAXREV 1
 #endif
 byte store = 0;
