--- a/agent/src/main/java/org/wigeonferry/agent/Admission.java
+++ b/agent/src/main/java/org/wigeonferry/agent/Admission.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonferry.core_types.Refusal;
@@ -58,6 +59,10 @@
         ramp.onFirstToken(latency, gate.inFlightCount(), System.nanoTime());
     }
 
+    void onRunning(StartOrder order, LongSupplier position) {
+        gate.onRunning(order, position);
+    }
+
     AgentLoad onFinished(StartOrder order) {
         gate.onFinished(order);
         checkIdle();
--- a/agent/src/main/java/org/wigeonferry/agent/ModelAttempt.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ModelAttempt.java
@@ -50,7 +50,7 @@
     private final SseReader events = new SseReader();
     private final long startedNanos;
     private Consumer<Throwable> abort = failure -> {};
-    private long offset;
+    private volatile long offset;
     private long tokens;
     private boolean responded;
     private boolean firstTokenSeen;
@@ -73,6 +73,11 @@
         this.metrics = metrics;
     }
 
+    /** Bytes of the answer so far; may be read by any thread. */
+    long position() {
+        return offset;
+    }
+
     void abortBy(Consumer<Throwable> action) {
         abort = action;
     }
@@ -148,7 +153,7 @@
         tokens++;
         byte[] data = text.getBytes(StandardCharsets.UTF_8);
         FrameMessage frame = Frames.chunk(order, offset, data);
-        offset += data.length;
+        offset = offset + data.length;
         return Optional.of(frame);
     }
 
@@ -214,6 +219,7 @@
         failure.setDetail(detail);
         failure.setCrashed(crashed);
         failure.setCondemned(admission.condemned(order));
+        failure.setPosition(offset);
         sink.finish(Frames.failure(order, failure));
     }
 
--- a/agent/src/main/java/org/wigeonferry/agent/ModelRunner.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ModelRunner.java
@@ -46,6 +46,7 @@
                 new ModelAttempt(
                         order, message.getResumeOffset(), sink, control, admission, metrics);
         attempt.abortBy(request::abort);
+        control.run(() -> admission.onRunning(order, attempt::position));
         request.onResponseBegin(attempt::onBegin)
                 .onResponseHeaders(attempt::onHeaders)
                 .onResponseContentAsync(attempt::onContent)
--- a/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
+++ b/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
@@ -148,7 +148,9 @@
             failure.setStep("send to upstream");
             failure.setPeer("upstream");
             failure.setDetail(e.toString());
-            sink.finish(Frames.failure(order, failure.setCrashed(false).setCondemned(false)));
+            sink.finish(
+                    Frames.failure(
+                            order, failure.setCrashed(false).setCondemned(false).setPosition(0)));
         }
     }
 
--- a/agent/src/main/java/org/wigeonferry/agent/ServiceRunner.java
+++ b/agent/src/main/java/org/wigeonferry/agent/ServiceRunner.java
@@ -124,6 +124,7 @@
         failure.setDetail(detail);
         failure.setCrashed(false);
         failure.setCondemned(false);
+        failure.setPosition(0);
         sink.finish(Frames.failure(order, failure));
     }
 }
--- a/command_line/src/main/java/org/wigeonferry/command_line/AdminClient.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/AdminClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.StringRequestContent;
@@ -92,7 +93,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new StepException(step, address.toString(), e);
-        } catch (ExecutionException | java.util.concurrent.TimeoutException e) {
+        } catch (ExecutionException | TimeoutException e) {
             throw new StepException(step, address.toString(), e);
         }
     }
--- a/command_line/src/test/java/org/wigeonferry/command_line/ProcessFailureTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/ProcessFailureTest.java
@@ -122,6 +122,16 @@
         assertThat(harness.ledgers().crashes()).as("engines lost").isLessThanOrEqualTo(2);
     }
 
+    @Test
+    void requestsThatWaitMoveOnWhenTheirVersionIsWithdrawn() throws StepException {
+        harness.apply(0, DemoNotes.rollOut(harness.plan(), "small-2", 20));
+        CompletableFuture<List<DemoOutcome>> waiting =
+                harness.chats(300, Duration.ofMillis(1), "small", 0, 1, 2);
+        harness.pause(Duration.ofMillis(400));
+        harness.apply(0, DemoNotes.withdraw());
+        assertThat(waiting.join()).allMatch(o -> o.end() == DemoEnd.ANSWERED);
+    }
+
     @Test
     void leavingUpstreamReceivesNothingNew() throws StepException {
         harness.chats(60, PACE, "auto", 0, 1, 2).join();
--- a/core_types/src/main/java/org/wigeonferry/core_types/StartOrder.java
+++ b/core_types/src/main/java/org/wigeonferry/core_types/StartOrder.java
@@ -20,6 +20,7 @@
  * @param digest digest of account and body; equal for a resend
  * @param idempotencyKey key of a call that may not be repeated
  * @param suspect whether the sender has seen an upstream crash with this digest in flight
+ * @param suspectPosition bytes of the answer that had come at that crash
  */
 public record StartOrder(
         NodeId entry,
@@ -33,7 +34,8 @@
         Duration remaining,
         String digest,
         Optional<String> idempotencyKey,
-        boolean suspect) {
+        boolean suspect,
+        long suspectPosition) {
 
     /** Starts a builder with the default of every optional field. */
     public static StartOrderBuilder builder() {
@@ -54,7 +56,8 @@
                 .remaining(remaining)
                 .digest(digest)
                 .idempotencyKey(idempotencyKey)
-                .suspect(suspect);
+                .suspect(suspect)
+                .suspectPosition(suspectPosition);
     }
 
     /** Key that tells this attempt from all others. */
--- a/core_types/src/main/java/org/wigeonferry/core_types/StartOrderBuilder.java
+++ b/core_types/src/main/java/org/wigeonferry/core_types/StartOrderBuilder.java
@@ -21,6 +21,7 @@
     private String digest = "";
     private Optional<String> idempotencyKey = Optional.empty();
     private boolean suspect = false;
+    private long suspectPosition = 0;
 
     StartOrderBuilder() {}
 
@@ -96,6 +97,12 @@
         return this;
     }
 
+    /** Sets bytes of the answer that had come at that crash. */
+    public StartOrderBuilder suspectPosition(long value) {
+        this.suspectPosition = value;
+        return this;
+    }
+
     /** Builds the value; fails on a field that breaks an invariant of {@link StartOrder}. */
     public StartOrder build() {
         return new StartOrder(
@@ -110,6 +117,7 @@
                 remaining,
                 digest,
                 idempotencyKey,
-                suspect);
+                suspect,
+                suspectPosition);
     }
 }
--- a/decisions/src/main/java/org/wigeonferry/decisions/AgentGate.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/AgentGate.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.wigeonferry.core_types.AdmissionRule;
 import org.wigeonferry.core_types.Catalog;
 import org.wigeonferry.core_types.GateView;
@@ -23,7 +24,7 @@
     private final List<AdmissionRule> rules;
     private final ColdStartRamp ramp;
     private final SuspectRegister suspects;
-    private final Map<String, StartOrder> inFlight = new HashMap<>();
+    private final Map<String, RunningOrder> inFlight = new HashMap<>();
 
     /** Guards the upstream by the rules. */
     public AgentGate(
@@ -43,7 +44,7 @@
         Optional<Refusal> refusal =
                 rules.stream().flatMap(rule -> rule.check(order, view).stream()).findFirst();
         if (refusal.isEmpty()) {
-            inFlight.put(order.attemptKey(), order);
+            inFlight.put(order.attemptKey(), new RunningOrder(order, () -> 0));
             noteSendersSuspicion(order, nowNanos);
         }
         return refusal;
@@ -52,10 +53,17 @@
     /** A crash that the sender saw counts here too, or a second one would not name its cause. */
     private void noteSendersSuspicion(StartOrder order, long nowNanos) {
         if (order.suspect()) {
-            suspects.merge(new Suspicion(order.digest(), false, nowNanos));
+            suspects.merge(
+                    new Suspicion(order.digest(), false, order.suspectPosition(), 1, nowNanos));
         }
     }
 
+    /** Tells where to read how far the answer of an admitted attempt has come. */
+    public void onRunning(StartOrder order, LongSupplier position) {
+        inFlight.computeIfPresent(
+                order.attemptKey(), (key, running) -> new RunningOrder(order, position));
+    }
+
     /** Notes that an admitted attempt ended without a loss of the engine. */
     public void onFinished(StartOrder order) {
         if (inFlight.remove(order.attemptKey()) != null) {
@@ -71,9 +79,9 @@
     /** Notes that the engine was lost; returns the suspicions that follow. */
     public List<Suspicion> onEngineLost(long nowNanos) {
         ramp.onCold(nowNanos);
-        List<String> digests = inFlight.values().stream().map(StartOrder::digest).toList();
+        List<LostRequest> lost = inFlight.values().stream().map(RunningOrder::lost).toList();
         inFlight.clear();
-        return suspects.onCrash(digests, nowNanos);
+        return suspects.onCrash(lost, nowNanos);
     }
 
     /** Tells whether an attempt is counted as in flight. */
@@ -106,6 +114,7 @@
 
     private boolean suspectInFlight(long nowNanos) {
         return inFlight.values().stream()
+                .map(RunningOrder::order)
                 .anyMatch(o -> o.suspect() || suspects.suspected(o.digest(), nowNanos));
     }
 }
--- a/decisions/src/main/java/org/wigeonferry/decisions/BillLedger.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/BillLedger.java
@@ -95,6 +95,11 @@
         return new ArrayList<>(held.keySet());
     }
 
+    /** Finds a bill of this process's own that is not durable. */
+    public Optional<Bill> find(String key) {
+        return Optional.ofNullable(own.get(key));
+    }
+
     /** Number of this process's own bills that are not durable. */
     public int pending() {
         return own.size();
--- a/decisions/src/main/java/org/wigeonferry/decisions/EvidenceBoard.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/EvidenceBoard.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.decisions;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.wigeonferry.core_types.NodeId;
 import org.wigeonferry.core_types.VersionId;
@@ -17,7 +18,16 @@
     public static final int MAX_SENDERS = 1024;
 
     private final Map<VersionId, VersionEvidence> own = new HashMap<>();
-    private final Map<NodeId, Map<VersionId, VersionEvidence>> others = new HashMap<>();
+    private final Map<NodeId, Map<VersionId, VersionEvidence>> others =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(
+                        Map.Entry<NodeId, Map<VersionId, VersionEvidence>> eldest) {
+                    return size() > MAX_SENDERS;
+                }
+            };
 
     /** Notes a whole answer. */
     public void onAnswer(VersionId version) {
@@ -36,9 +46,6 @@
 
     /** Takes over another process's total. */
     public void onReport(NodeId sender, VersionId version, VersionEvidence total) {
-        if (others.size() >= MAX_SENDERS && !others.containsKey(sender)) {
-            return;
-        }
         others.computeIfAbsent(sender, key -> new HashMap<>()).put(version, total);
     }
 
--- /dev/null
+++ b/decisions/src/main/java/org/wigeonferry/decisions/LostRequest.java
@@ -0,0 +1,11 @@
+package org.wigeonferry.decisions;
+
+/**
+ * A request that was in flight when an upstream was lost.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param digest digest of account and body
+ * @param position bytes of the answer that had come
+ */
+public record LostRequest(String digest, long position) {}
--- a/decisions/src/main/java/org/wigeonferry/decisions/SuspectRegister.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/SuspectRegister.java
@@ -18,6 +18,9 @@
  * an answer. Not thread safe; owned by the control thread.
  */
 public final class SuspectRegister {
+    /** Losses after which the position no longer counts. */
+    private static final int ENOUGH_LOSSES = 2;
+
     private final int capacity;
     private final Duration lifetime;
     private final Map<String, Suspicion> suspicions = new LinkedHashMap<>();
@@ -29,21 +32,34 @@
     }
 
     /** Notes a crash with these requests in flight; returns what is new. */
-    public List<Suspicion> onCrash(Collection<String> digestsInFlight, long nowNanos) {
-        List<String> digests = digestsInFlight.stream().distinct().toList();
-        List<String> suspects = digests.stream().filter(d -> suspected(d, nowNanos)).toList();
-        boolean causeKnown = suspects.size() == 1;
-        return digests.stream()
-                .map(d -> new Suspicion(d, causeKnown && suspects.contains(d), nowNanos))
+    public List<Suspicion> onCrash(Collection<LostRequest> inFlight, long nowNanos) {
+        Map<String, LostRequest> byDigest = new LinkedHashMap<>();
+        inFlight.forEach(lost -> byDigest.putIfAbsent(lost.digest(), lost));
+        List<String> suspects =
+                byDigest.keySet().stream().filter(d -> suspected(d, nowNanos)).toList();
+        boolean alone = suspects.size() == 1;
+        return byDigest.values().stream()
+                .map(lost -> suspicion(lost, alone && suspects.contains(lost.digest()), nowNanos))
                 .map(this::merge)
                 .toList();
     }
 
+    private Suspicion suspicion(LostRequest lost, boolean onlySuspect, long nowNanos) {
+        Optional<Suspicion> known = find(lost.digest(), nowNanos);
+        int losses = known.map(Suspicion::losses).orElse(0) + 1;
+        boolean samePosition =
+                known.filter(before -> before.position() == lost.position()).isPresent();
+        boolean condemned = onlySuspect && (samePosition || losses > ENOUGH_LOSSES);
+        return new Suspicion(lost.digest(), condemned, lost.position(), losses, nowNanos);
+    }
+
     /** Takes over a suspicion, its own or a peer's; returns the result. */
     public Suspicion merge(Suspicion news) {
-        Suspicion known = suspicions.remove(news.digest());
-        boolean condemned = news.condemned() || (known != null && known.condemned());
-        Suspicion merged = new Suspicion(news.digest(), condemned, news.atNanos());
+        Optional<Suspicion> known = Optional.ofNullable(suspicions.remove(news.digest()));
+        boolean condemned = news.condemned() || known.filter(Suspicion::condemned).isPresent();
+        int losses = Math.max(news.losses(), known.map(Suspicion::losses).orElse(0));
+        Suspicion merged =
+                new Suspicion(news.digest(), condemned, news.position(), losses, news.atNanos());
         suspicions.put(news.digest(), merged);
         if (suspicions.size() > capacity) {
             suspicions.remove(suspicions.keySet().iterator().next());
@@ -66,12 +82,12 @@
 
     /** Tells whether a digest is suspected or condemned. */
     public boolean suspected(String digest, long nowNanos) {
-        return current(digest, nowNanos).isPresent();
+        return find(digest, nowNanos).isPresent();
     }
 
     /** Tells whether a digest is condemned. */
     public boolean condemned(String digest, long nowNanos) {
-        return current(digest, nowNanos).filter(Suspicion::condemned).isPresent();
+        return find(digest, nowNanos).filter(Suspicion::condemned).isPresent();
     }
 
     /** All current suspicions, newest last. */
@@ -80,7 +96,8 @@
         return List.copyOf(suspicions.values());
     }
 
-    private Optional<Suspicion> current(String digest, long nowNanos) {
+    /** Finds the current suspicion of a digest. */
+    public Optional<Suspicion> find(String digest, long nowNanos) {
         return Optional.ofNullable(suspicions.get(digest)).filter(s -> !expired(s, nowNanos));
     }
 
--- a/decisions/src/main/java/org/wigeonferry/decisions/VersionChoice.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/VersionChoice.java
@@ -1,6 +1,5 @@
 package org.wigeonferry.decisions;
 
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BinaryOperator;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.wigeonferry.core_types.Catalog;
 import org.wigeonferry.core_types.ModelVersion;
@@ -23,21 +23,33 @@
 
     /** The versions that the account, the configuration and the roll-out allow the request. */
     public static List<ModelVersion> eligible(StageQuery query, Catalog catalog) {
-        Collection<ModelVersion> onePerModel =
+        Map<String, List<ModelVersion>> byModel =
                 catalog.versions().values().stream()
                         .filter(VersionPredicates.allowedTo(query.account()))
                         .filter(VersionPredicates.active())
-                        .filter(VersionPredicates.exposedTo(query.requestId()))
                         .filter(version -> matches(query, version))
-                        .collect(Collectors.toMap(ModelVersion::model, v -> v, preferRollOut()))
-                        .values();
-        return onePerModel.stream()
+                        .collect(Collectors.groupingBy(ModelVersion::model));
+        return byModel.values().stream()
+                .flatMap(versions -> ofModel(query, versions).stream())
                 .sorted(
                         Comparator.comparingLong(ModelVersion::costMicrosPerToken)
                                 .thenComparing(version -> version.id().value()))
                 .toList();
     }
 
+    /**
+     * One version of a model. The share that a roll-out exposes holds as long as a fully exposed
+     * version is there for the other requests; without one the roll-out's version serves them all.
+     */
+    private static Optional<ModelVersion> ofModel(StageQuery query, List<ModelVersion> versions) {
+        boolean fullyExposed = versions.stream().anyMatch(VersionPredicates.exposedToAll());
+        Predicate<ModelVersion> exposed =
+                fullyExposed
+                        ? VersionPredicates.exposedTo(query.requestId())
+                        : VersionPredicates.exposedToAny();
+        return versions.stream().filter(exposed).reduce(preferRollOut());
+    }
+
     /** Follows a session's version to its successor, if it was withdrawn. */
     public static Optional<ModelVersion> successor(VersionId session, Catalog catalog) {
         Set<VersionId> seen = new HashSet<>();
@@ -61,9 +73,4 @@
                                 Comparator.comparing((ModelVersion v) -> v.id().value())
                                         .reversed()));
     }
-
-    /** The versions by name. */
-    static Map<VersionId, ModelVersion> byName(Collection<ModelVersion> versions) {
-        return versions.stream().collect(Collectors.toMap(ModelVersion::id, v -> v));
-    }
 }
--- a/decisions/src/main/java/org/wigeonferry/decisions/VersionPredicates.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/VersionPredicates.java
@@ -30,6 +30,16 @@
         return version -> bucket(request, version) < version.exposurePercent();
     }
 
+    /** Versions that every request may reach. */
+    static Predicate<ModelVersion> exposedToAll() {
+        return version -> version.exposurePercent() == PERCENT;
+    }
+
+    /** Versions that some request may reach. */
+    static Predicate<ModelVersion> exposedToAny() {
+        return version -> version.exposurePercent() > 0;
+    }
+
     /** Versions that the caller named, by version or by model. */
     static Predicate<ModelVersion> named(String name) {
         return version -> version.model().equals(name) || version.id().value().equals(name);
--- a/decisions/src/test/java/org/wigeonferry/decisions/CascadeTest.java
+++ b/decisions/src/test/java/org/wigeonferry/decisions/CascadeTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.wigeonferry.core_types.AccountId;
 import org.wigeonferry.core_types.Catalog;
@@ -127,7 +128,7 @@
                 catalog().toBuilder().versions(Map.of(SMALL.id(), SMALL, next.id(), next)).build();
         ClientAccount account = account(Set.of(SMALL.id(), next.id()));
         long exposed =
-                java.util.stream.IntStream.range(0, 10_000)
+                IntStream.range(0, 10_000)
                         .mapToObj(
                                 i ->
                                         new StageQuery(
@@ -142,6 +143,22 @@
         assertThat(exposed).isBetween(850L, 1150L);
     }
 
+    @Test
+    void onlyVersionOfAModelServesAllRequestsThoughItsRollOutGoesOn() {
+        ModelVersion next = SMALL.toBuilder().exposurePercent(1).build();
+        Catalog catalog = catalog().toBuilder().versions(Map.of(next.id(), next)).build();
+        StageQuery query = query(Optional.of("small"), Optional.empty(), false);
+        assertThat(VersionChoice.eligible(query, catalog)).containsExactly(next);
+    }
+
+    @Test
+    void versionThatWasPulledBackServesNone() {
+        ModelVersion bad = SMALL.toBuilder().exposurePercent(0).build();
+        Catalog catalog = catalog().toBuilder().versions(Map.of(bad.id(), bad)).build();
+        StageQuery query = query(Optional.of("small"), Optional.empty(), false);
+        assertThat(VersionChoice.eligible(query, catalog)).isEmpty();
+    }
+
     private ModelVersion first(StageQuery query, Catalog catalog) {
         return policy.stages(query, catalog).get(0);
     }
@@ -157,9 +174,7 @@
     private ModelVersion mostlyFirst(boolean single) {
         StageQuery query = query(Optional.empty(), Optional.empty(), single);
         long cheap =
-                java.util.stream.IntStream.range(0, 100)
-                        .filter(i -> first(query, catalog()).equals(SMALL))
-                        .count();
+                IntStream.range(0, 100).filter(i -> first(query, catalog()).equals(SMALL)).count();
         assertThat(Math.min(cheap, 100 - cheap)).as("share that explores").isLessThan(10);
         return cheap > 50 ? SMALL : LARGE;
     }
--- a/decisions/src/test/java/org/wigeonferry/decisions/EvidenceBoardTest.java
+++ b/decisions/src/test/java/org/wigeonferry/decisions/EvidenceBoardTest.java
@@ -34,4 +34,14 @@
         board.onRating(VERSION, 0.5);
         assertThat(board.own(VERSION)).isEqualTo(new VersionEvidence(0, 1, 1, 0.5));
     }
+
+    @Test
+    void sendersThatReportedLastAreKept() {
+        for (int i = 0; i <= EvidenceBoard.MAX_SENDERS; i++) {
+            board.onReport(new NodeId("entry-" + i), VERSION, new VersionEvidence(1, 0, 0, 0));
+        }
+        assertThat(board.total(VERSION).answers()).isEqualTo(EvidenceBoard.MAX_SENDERS);
+        board.onReport(new NodeId("entry-new"), VERSION, new VersionEvidence(100, 0, 0, 0));
+        assertThat(board.total(VERSION).answers()).isEqualTo(EvidenceBoard.MAX_SENDERS + 99);
+    }
 }
--- a/decisions/src/test/java/org/wigeonferry/decisions/InnocentInTwoCrashesTest.java
+++ b/decisions/src/test/java/org/wigeonferry/decisions/InnocentInTwoCrashesTest.java
@@ -9,12 +9,20 @@
 
 /** Two engines are lost for other reasons while the same request is the only suspect in flight. */
 class InnocentInTwoCrashesTest {
+    private final SuspectRegister register = new SuspectRegister(10, Duration.ofMinutes(10));
+
+    @Test
+    void innocentIsNotCondemnedAtAnotherPosition() {
+        register.onCrash(List.of(new LostRequest("innocent", 40), new LostRequest("o", 0)), 0);
+        register.onCrash(List.of(new LostRequest("innocent", 12)), 0);
+        assertThat(register.condemned("innocent", 0)).isFalse();
+    }
+
     @Test
     @Tag("known-red")
     void innocentIsNotCondemned() {
-        SuspectRegister register = new SuspectRegister(10, Duration.ofMinutes(10));
-        register.onCrash(List.of("innocent", "other"), 0);
-        register.onCrash(List.of("innocent"), 0);
+        register.onCrash(List.of(new LostRequest("innocent", 0), new LostRequest("o", 0)), 0);
+        register.onCrash(List.of(new LostRequest("innocent", 0)), 0);
         assertThat(register.condemned("innocent", 0)).isFalse();
     }
 }
--- a/decisions/src/test/java/org/wigeonferry/decisions/SuspectRegisterTest.java
+++ b/decisions/src/test/java/org/wigeonferry/decisions/SuspectRegisterTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -13,7 +14,7 @@
 
     @Test
     void firstCrashMakesSuspectsOnly() {
-        register.onCrash(List.of("poison", "innocent"), 0);
+        register.onCrash(lost("poison", "innocent"), 0);
         assertThat(register.suspected("poison", 0)).isTrue();
         assertThat(register.suspected("innocent", 0)).isTrue();
         assertThat(register.condemned("poison", 0)).isFalse();
@@ -21,39 +22,39 @@
 
     @Test
     void secondCrashWithOneSuspectCondemnsItAndNoOther() {
-        register.onCrash(List.of("poison"), 0);
-        register.onCrash(List.of("poison", "innocent"), 0);
+        register.onCrash(lost("poison"), 0);
+        register.onCrash(lost("poison", "innocent"), 0);
         assertThat(register.condemned("poison", 0)).isTrue();
         assertThat(register.condemned("innocent", 0)).isFalse();
     }
 
     @Test
     void crashWithTwoSuspectsCondemnsNeither() {
-        register.onCrash(List.of("poison", "innocent"), 0);
-        register.onCrash(List.of("poison", "innocent"), 0);
+        register.onCrash(lost("poison", "innocent"), 0);
+        register.onCrash(lost("poison", "innocent"), 0);
         assertThat(register.condemned("poison", 0)).isFalse();
         assertThat(register.condemned("innocent", 0)).isFalse();
     }
 
     @Test
     void sameDigestTwiceInFlightIsOneSuspect() {
-        register.onCrash(List.of("poison"), 0);
-        register.onCrash(List.of("poison", "poison"), 0);
+        register.onCrash(lost("poison"), 0);
+        register.onCrash(lost("poison", "poison"), 0);
         assertThat(register.condemned("poison", 0)).isTrue();
     }
 
     @Test
     void suspectThatFinishesIsCleared() {
-        register.onCrash(List.of("innocent"), 0);
+        register.onCrash(lost("innocent"), 0);
         register.onFinished("innocent");
         assertThat(register.suspected("innocent", 0)).isFalse();
     }
 
     @Test
     void condemnedStaysCondemnedUntilCleared() {
-        register.merge(new Suspicion("poison", true, 0));
+        register.merge(new Suspicion("poison", true, 0, 1, 0));
         register.onFinished("poison");
-        register.merge(new Suspicion("poison", false, 0));
+        register.merge(new Suspicion("poison", false, 0, 1, 0));
         assertThat(register.condemned("poison", 0)).isTrue();
         assertThat(register.clear("poison")).isTrue();
         assertThat(register.condemned("poison", 0)).isFalse();
@@ -61,13 +62,32 @@
 
     @Test
     void suspicionExpires() {
-        register.merge(new Suspicion("poison", true, 0));
+        register.merge(new Suspicion("poison", true, 0, 1, 0));
         assertThat(register.condemned("poison", LIFETIME.toNanos() + 1)).isFalse();
     }
 
     @Test
     void keepsNoMoreThanItsCapacity() {
-        register.onCrash(List.of("a", "b", "c", "d", "e"), 0);
+        register.onCrash(lost("a", "b", "c", "d", "e"), 0);
         assertThat(register.all(0)).hasSize(3);
     }
+
+    @Test
+    void crashAtAnotherPositionIsNotEnough() {
+        register.onCrash(List.of(new LostRequest("innocent", 12)), 0);
+        register.onCrash(List.of(new LostRequest("innocent", 40)), 0);
+        assertThat(register.condemned("innocent", 0)).isFalse();
+    }
+
+    @Test
+    void thirdCrashCondemnsWhateverThePosition() {
+        register.onCrash(List.of(new LostRequest("poison", 12)), 0);
+        register.onCrash(List.of(new LostRequest("poison", 40)), 0);
+        register.onCrash(List.of(new LostRequest("poison", 80)), 0);
+        assertThat(register.condemned("poison", 0)).isTrue();
+    }
+
+    private static List<LostRequest> lost(String... digests) {
+        return Arrays.stream(digests).map(d -> new LostRequest(d, 0)).toList();
+    }
 }
--- a/entry/src/main/java/org/wigeonferry/entry/AdminEndpoints.java
+++ b/entry/src/main/java/org/wigeonferry/entry/AdminEndpoints.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -120,7 +121,7 @@
 
     private static ObjectNode toJson(CommitResult result) {
         ObjectNode json = JsonCalls.object();
-        json.put("state", result.state().name().toLowerCase(java.util.Locale.ROOT));
+        json.put("state", result.state().name().toLowerCase(Locale.ROOT));
         json.put("revision", result.revision().number()).put("detail", result.detail());
         ArrayNode zones = json.putArray("zones");
         result.zones().stream().map(Object::toString).sorted().forEach(zones::add);
--- a/entry/src/main/java/org/wigeonferry/entry/AttemptFailed.java
+++ b/entry/src/main/java/org/wigeonferry/entry/AttemptFailed.java
@@ -8,5 +8,7 @@
  * @param detail step, peer and cause
  * @param crashed whether the upstream was lost with the attempt in flight
  * @param condemned whether the request is known to be the cause of such a loss
+ * @param position bytes of the answer that had come at the loss
  */
-record AttemptFailed(String detail, boolean crashed, boolean condemned) implements AttemptResult {}
+record AttemptFailed(String detail, boolean crashed, boolean condemned, long position)
+        implements AttemptResult {}
--- a/entry/src/main/java/org/wigeonferry/entry/AttemptReader.java
+++ b/entry/src/main/java/org/wigeonferry/entry/AttemptReader.java
@@ -116,7 +116,7 @@
             return last.get();
         }
         String cause = wholeResponse ? "no end mark" : "connection lost";
-        return new AttemptFailed("receive answer at " + upstream + ": " + cause, false, false);
+        return new AttemptFailed("receive answer at " + upstream + ": " + cause, false, false, 0);
     }
 
     /** A request that the agent's server refused as malformed was never run. */
@@ -148,7 +148,8 @@
                                             + ": "
                                             + failure.getDetail(),
                                     failure.isCrashed(),
-                                    failure.isCondemned()));
+                                    failure.isCondemned(),
+                                    failure.getPosition()));
         }
     }
 
--- a/entry/src/main/java/org/wigeonferry/entry/Attempts.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Attempts.java
@@ -15,6 +15,7 @@
 import org.wigeonferry.core_types.UpstreamId;
 import org.wigeonferry.core_types.VersionId;
 import org.wigeonferry.decisions.RouteQuery;
+import org.wigeonferry.decisions.SuspectRegister;
 import org.wigeonferry.decisions.Suspicion;
 import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.Exchanger;
@@ -30,7 +31,6 @@
     private static final Duration BLOCK_AFTER_REFUSAL = Duration.ofMillis(50);
     private static final Duration BLOCK_AFTER_LOSS = Duration.ofMillis(500);
     private static final Duration BLOCK_WHILE_LEAVING = Duration.ofSeconds(5);
-    private static final Duration CAPACITY_PAUSE = Duration.ofMillis(20);
     private static final int MAX_FAILURES = 4;
 
     /** Keeps the attempt numbers of different stages apart. */
@@ -87,8 +87,12 @@
             giveUp(Refusal.of(RefusalReason.POISON, "request crashed upstreams"));
             return;
         }
+        if (version.filter(id -> withdrawn(id, catalog)).isPresent()) {
+            giveUp(Refusal.of(RefusalReason.VERSION_WITHDRAWN, "version was withdrawn"));
+            return;
+        }
         if (!state.shared().fresh(now)) {
-            control.after(CAPACITY_PAUSE, this::next);
+            state.line().join(this::next);
             return;
         }
         RouteQuery query = new RouteQuery(call.account().id(), version, service, tried);
@@ -100,10 +104,14 @@
         send(upstream.get(), catalog);
     }
 
-    /** All upstreams refused or are blocked: asks them anew after a pause. */
+    private static boolean withdrawn(VersionId id, Catalog catalog) {
+        return catalog.version(id).filter(version -> !version.withdrawn()).isEmpty();
+    }
+
+    /** All upstreams refused or are blocked: asks them anew once there may be room. */
     private void waitForCapacity() {
         tried.clear();
-        control.after(CAPACITY_PAUSE, this::next);
+        state.line().join(this::next);
     }
 
     private void send(Upstream upstream, Catalog catalog) {
@@ -130,6 +138,7 @@
                                         () -> {
                                             state.router().onDone(upstream.id());
                                             onEnd(upstream, end, failure);
+                                            state.line().onRoom();
                                         }));
     }
 
@@ -139,6 +148,8 @@
     }
 
     private StartOrder order(Catalog catalog) {
+        Optional<Suspicion> suspicion =
+                state.shared().suspects().find(call.digest(), control.nanoTime());
         return StartOrder.builder()
                 .entry(state.shared().identity().incarnation())
                 .requestId(call.requestId())
@@ -151,13 +162,14 @@
                 .remaining(call.remaining())
                 .digest(call.digest())
                 .idempotencyKey(call.idempotencyKey())
-                .suspect(state.shared().suspects().suspected(call.digest(), control.nanoTime()))
+                .suspect(suspicion.isPresent())
+                .suspectPosition(suspicion.map(Suspicion::position).orElse(0L))
                 .build();
     }
 
     private void onEnd(Upstream upstream, AttemptResult end, Throwable failure) {
         if (failure != null) {
-            onFailed(upstream, new AttemptFailed(failure.toString(), false, false));
+            onFailed(upstream, new AttemptFailed(failure.toString(), false, false, 0));
             return;
         }
         if (end instanceof AttemptFinished finished) {
@@ -216,9 +228,7 @@
         state.router().block(upstream.id(), BLOCK_AFTER_LOSS, control.nanoTime());
         tried.add(upstream.id());
         if (failed.crashed()) {
-            state.shared()
-                    .suspects()
-                    .merge(new Suspicion(call.digest(), failed.condemned(), control.nanoTime()));
+            noteLoss(failed);
             CompletableFuture<Void> told = runtime.exchanger().tellUrgently();
             if (failed.condemned()) {
                 told.whenComplete((done, failure) -> result.complete(failed));
@@ -234,10 +244,18 @@
         result.complete(failed);
     }
 
+    private void noteLoss(AttemptFailed failed) {
+        long now = control.nanoTime();
+        SuspectRegister suspects = state.shared().suspects();
+        int losses = suspects.find(call.digest(), now).map(Suspicion::losses).orElse(0) + 1;
+        suspects.merge(
+                new Suspicion(call.digest(), failed.condemned(), failed.position(), losses, now));
+    }
+
     private void giveUp(Refusal refusal) {
         if (failures > 0) {
             boolean condemned = refusal.reason() == RefusalReason.POISON;
-            result.complete(new AttemptFailed(lastFailure, false, condemned));
+            result.complete(new AttemptFailed(lastFailure, false, condemned, 0));
             return;
         }
         result.complete(new AttemptRefused(refusal, state.shared().catalog().revision()));
--- a/entry/src/main/java/org/wigeonferry/entry/BillKeeper.java
+++ b/entry/src/main/java/org/wigeonferry/entry/BillKeeper.java
@@ -2,19 +2,18 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonferry.core_types.Bill;
 import org.wigeonferry.core_types.NodeId;
-import org.wigeonferry.core_types.RowPut;
-import org.wigeonferry.core_types.TableTransaction;
-import org.wigeonferry.core_types.TransactResult;
-import org.wigeonferry.core_types.WriteOutcome;
 import org.wigeonferry.decisions.BillLedger;
 import org.wigeonferry.decisions.Peer;
 import org.wigeonferry.messages.Codec;
@@ -23,24 +22,22 @@
 import org.wigeonferry.messages.gen.HoldReply;
 import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.NodeMetrics;
-import org.wigeonferry.node_runtime.PeerCalls;
+import org.wigeonferry.node_runtime.PeerTransport;
 import org.wigeonferry.platform_clients.TableService;
 
 /**
  * Keeps bills until the table service has them.
  *
  * <p>A bill is secured once an entry of another availability zone holds it too, or the store has
- * it. Each entry writes its bills in batches; the holder drops a bill at its owner's word, and
- * writes it itself once the owner is gone. State is touched on the control thread only. Thread
+ * it. The holder drops a bill at its owner's word, and writes it itself once the owner is gone; an
+ * owner whose holder is gone finds another. State is touched on the control thread only. Thread
  * safe.
  */
 final class BillKeeper {
     static final String HOLD_PATH = "/peer/hold";
 
     private static final Logger LOG = LoggerFactory.getLogger(BillKeeper.class);
-    private static final int MAX_BATCH = 256;
     private static final int MAX_HOLD_TRIES = 3;
-    private static final int MAX_STORE_TRIES = 5;
     private static final Duration HOLD_TIMEOUT = Duration.ofMillis(400);
 
     /** How long an owner may be silent before its bills are written by their holder. */
@@ -49,31 +46,28 @@
     private final Control control;
     private final EntryState state;
     private final BillLedger ledger;
-    private final PeerCalls calls;
-    private final TableService table;
-    private final NodeMetrics metrics;
-    private final java.util.Map<NodeId, List<String>> drops = new java.util.HashMap<>();
-    private final java.util.Map<String, Peer> heldBy = new java.util.HashMap<>();
-    private final java.util.Map<NodeId, Long> ownerSeenNanos = new java.util.HashMap<>();
+    private final PeerTransport calls;
+    private final BillWriter writer;
+    private final BillHolders holders = new BillHolders();
+    private final Map<NodeId, Long> ownerSeenNanos = new HashMap<>();
 
     BillKeeper(
             Control control,
             EntryState state,
-            PeerCalls calls,
+            PeerTransport calls,
             TableService table,
             NodeMetrics metrics) {
         this.control = control;
         this.state = state;
         this.ledger = state.bills();
         this.calls = calls;
-        this.table = table;
-        this.metrics = metrics;
+        this.writer = new BillWriter(control, ledger, table, metrics, holders::onDurable);
     }
 
     /** Begins to write batches. */
     void start(Duration period) {
-        control.every(period, this::writeBatch);
-        control.every(OWNER_SILENCE.dividedBy(2), this::adoptSilent);
+        control.every(period, this::writeAndDrop);
+        control.every(OWNER_SILENCE.dividedBy(2), this::lookAfterOthers);
     }
 
     /** Secures a bill; false if neither a second host nor the store could take it. */
@@ -88,51 +82,56 @@
                 .thenCompose(secured -> secured);
     }
 
-    /** Holds bills for a peer. */
+    /** Holds bills for a peer, unless this process is stopping. */
     CompletableFuture<byte[]> onHold(byte[] body) {
         return control.ask(
                 () -> {
                     try {
                         HoldMessage message = Codec.decode(body, new HoldMessage());
-                        NodeId owner = new NodeId(message.getOwner());
-                        ownerSeenNanos.put(owner, control.nanoTime());
-                        ledger.drop(owner, message.getDrop());
-                        List<Bill> bills = message.getHold().stream().map(Bills::toBill).toList();
-                        return Codec.encode(new HoldReply(ledger.hold(owner, bills)));
+                        return Codec.encode(new HoldReply(hold(message)));
                     } catch (CodecException e) {
-                        throw new java.util.concurrent.CompletionException(e);
+                        throw new CompletionException(e);
                     }
                 });
     }
 
-    /** Writes what is pending; the future says when nothing is left or the store gave up. */
+    /** Writes this process's bills and those it holds; completes once all are durable. */
     CompletableFuture<Boolean> flush() {
-        return control.ask(() -> flushOnControl(MAX_STORE_TRIES)).thenCompose(done -> done);
+        control.run(() -> ledger.owners().forEach(ledger::adopt));
+        return writer.flush();
+    }
+
+    private boolean hold(HoldMessage message) {
+        NodeId owner = new NodeId(message.getOwner());
+        ownerSeenNanos.put(owner, control.nanoTime());
+        ledger.drop(owner, message.getDrop());
+        List<Bill> bills = message.getHold().stream().map(Bills::toBill).toList();
+        return !state.stopping() && ledger.hold(owner, bills);
     }
 
     private CompletableFuture<Boolean> holdAtPeer(Bill bill, Set<NodeId> tried, int triesLeft) {
         Optional<Peer> peer = state.shared().otherZonePeer(tried, control.nanoTime());
         if (peer.isEmpty() || triesLeft == 0) {
-            return writeNow(bill, MAX_STORE_TRIES);
+            return writer.writeNow(bill);
         }
         tried.add(peer.get().node());
         return sendHold(peer.get(), List.of(bill), List.of())
                 .thenCompose(
                         held ->
                                 control.ask(
-                                                () -> {
-                                                    if (held) {
-                                                        noteHolder(bill, peer.get());
-                                                        return CompletableFuture.completedFuture(
-                                                                true);
-                                                    }
-                                                    return holdAtPeer(bill, tried, triesLeft - 1);
-                                                })
-                                        .thenCompose(done -> done));
+                                        () ->
+                                                onHoldReply(
+                                                        bill, peer.get(), held, tried, triesLeft)))
+                .thenCompose(secured -> secured);
     }
 
-    private void noteHolder(Bill bill, Peer peer) {
-        heldBy.put(bill.key(), peer);
+    private CompletableFuture<Boolean> onHoldReply(
+            Bill bill, Peer peer, boolean held, Set<NodeId> tried, int triesLeft) {
+        if (!held) {
+            return holdAtPeer(bill, tried, triesLeft - 1);
+        }
+        holders.onHeld(bill.key(), peer, ledger.find(bill.key()).isEmpty());
+        return CompletableFuture.completedFuture(true);
     }
 
     private CompletableFuture<Boolean> sendHold(Peer peer, List<Bill> hold, List<String> drop) {
@@ -158,98 +157,54 @@
         }
     }
 
-    private CompletableFuture<Boolean> writeNow(Bill bill, int triesLeft) {
-        return table.transact(TableTransaction.insert(List.of(Bills.toRow(bill))))
-                .thenCompose(
-                        result -> {
-                            if (result.outcome() != WriteOutcome.UNKNOWN) {
-                                return control.ask(
-                                        () -> {
-                                            ledger.onDurable(List.of(bill.key()));
-                                            return true;
-                                        });
-                            }
-                            if (triesLeft == 0) {
-                                return CompletableFuture.completedFuture(false);
-                            }
-                            return writeNow(bill, triesLeft - 1);
-                        });
-    }
-
-    private CompletableFuture<Boolean> flushOnControl(int triesLeft) {
-        if (ledger.pending() == 0 || triesLeft == 0) {
-            return CompletableFuture.completedFuture(ledger.pending() == 0);
-        }
-        return writeBatch()
-                .thenCompose(
-                        applied ->
-                                control.ask(
-                                                () ->
-                                                        flushOnControl(
-                                                                applied
-                                                                        ? MAX_STORE_TRIES
-                                                                        : triesLeft - 1))
-                                        .thenCompose(done -> done));
-    }
-
-    private CompletableFuture<Boolean> writeBatch() {
-        sendDrops();
-        List<Bill> batch = ledger.nextBatch(MAX_BATCH);
-        if (batch.isEmpty()) {
-            return CompletableFuture.completedFuture(true);
-        }
-        List<RowPut> rows = batch.stream().map(Bills::toRow).toList();
-        return table.transact(TableTransaction.insert(rows))
-                .thenCompose(result -> control.ask(() -> onBatch(batch, result)));
-    }
-
-    private boolean onBatch(List<Bill> batch, TransactResult result) {
-        List<String> keys = new ArrayList<>(batch.stream().map(Bill::key).toList());
-        metrics.count("bill_batches", "outcome", result.outcome().name());
-        if (result.outcome() == WriteOutcome.UNKNOWN) {
-            ledger.onUnknown(keys);
-            return false;
-        }
-        if (result.outcome() == WriteOutcome.REFUSED) {
-            keys.removeAll(new HashSet<>(result.failedKeys()));
-            ledger.onUnknown(keys);
-            durable(result.failedKeys());
-            return true;
-        }
-        durable(keys);
-        return true;
-    }
-
-    private void durable(List<String> keys) {
-        ledger.onDurable(keys);
-        for (String key : keys) {
-            Optional.ofNullable(heldBy.remove(key))
-                    .ifPresent(
-                            peer ->
-                                    drops.computeIfAbsent(peer.node(), n -> new ArrayList<>())
-                                            .add(key));
+    private void writeAndDrop() {
+        writer.writeBatch();
+        for (Peer peer : state.shared().peers().live(control.nanoTime())) {
+            List<String> drops = holders.takeDrops(peer.node());
+            if (!drops.isEmpty()) {
+                sendHold(peer, List.of(), drops);
+            }
         }
-        sendDrops();
+        holders.forgetDropsOfOthers();
     }
 
-    private void sendDrops() {
-        for (Peer peer : state.shared().peers().live(control.nanoTime())) {
-            Optional.ofNullable(drops.remove(peer.node()))
-                    .ifPresent(keys -> sendHold(peer, List.of(), keys));
-        }
-        drops.clear();
+    private void lookAfterOthers() {
+        adoptFromLostOwners();
+        holdElsewhere();
     }
 
-    private void adoptSilent() {
+    private void adoptFromLostOwners() {
         long now = control.nanoTime();
         for (NodeId owner : ledger.owners()) {
             long seen = ownerSeenNanos.getOrDefault(owner, now);
             if (now - seen > OWNER_SILENCE.toNanos()) {
                 int count = ledger.adopt(owner);
-                ownerSeenNanos.remove(owner);
                 LOG.atInfo().addKeyValue("owner", owner).addKeyValue("bills", count).log("adopted");
             }
         }
         ownerSeenNanos.keySet().retainAll(ledger.owners());
     }
+
+    /** Finds another holder for bills whose holder is gone. */
+    private void holdElsewhere() {
+        long now = control.nanoTime();
+        List<NodeId> live = state.shared().peers().live(now).stream().map(Peer::node).toList();
+        List<Bill> orphans = new ArrayList<>();
+        holders.takeOrphans(live).forEach(key -> ledger.find(key).ifPresent(orphans::add));
+        Optional<Peer> peer = state.shared().otherZonePeer(List.of(), now);
+        if (orphans.isEmpty() || peer.isEmpty()) {
+            return;
+        }
+        sendHold(peer.get(), orphans, List.of())
+                .thenAccept(held -> control.run(() -> onHeldElsewhere(orphans, peer.get(), held)));
+    }
+
+    private void onHeldElsewhere(List<Bill> bills, Peer peer, boolean held) {
+        if (!held) {
+            return;
+        }
+        for (Bill bill : bills) {
+            holders.onHeld(bill.key(), peer, ledger.find(bill.key()).isEmpty());
+        }
+    }
 }
--- a/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
@@ -2,15 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.wigeonferry.core_types.Bill;
 import org.wigeonferry.core_types.ModelVersion;
 import org.wigeonferry.core_types.Refusal;
 import org.wigeonferry.core_types.RefusalReason;
-import org.wigeonferry.core_types.RequestClass;
 import org.wigeonferry.core_types.VersionId;
-import org.wigeonferry.decisions.Cascade;
 import org.wigeonferry.decisions.StageQuery;
 import org.wigeonferry.node_runtime.ApiError;
 import org.wigeonferry.node_runtime.Replies;
@@ -24,6 +23,7 @@
  */
 final class ChatCall {
     private static final int OK = 200;
+    private static final int MAX_PLANS = 3;
 
     private final Call call;
     private final ChatRequest chat;
@@ -31,8 +31,10 @@
     private final EntryRuntime runtime;
     private final Response response;
     private final Callback callback;
+    private final ChatLearning learning;
     private List<ModelVersion> stages = List.of();
     private int stage;
+    private int plansLeft = MAX_PLANS;
     private long tokens;
     private long costMicros;
     private Optional<DeliverableAnswer> best = Optional.empty();
@@ -51,10 +53,17 @@
         this.runtime = runtime;
         this.response = response;
         this.callback = callback;
+        this.learning = new ChatLearning(call, runtime);
     }
 
     /** Begins; call on the control thread, after the request was counted in. */
     void begin() {
+        runtime.state().retries().onRequest();
+        plan();
+    }
+
+    /** Chooses the stages by the newest configuration, and runs the first. */
+    private void plan() {
         StageQuery query =
                 new StageQuery(
                         call.account(),
@@ -64,7 +73,6 @@
                         session,
                         chat.stream());
         stages = runtime.state().cascade().stages(query, runtime.state().shared().catalog());
-        runtime.state().retries().onRequest();
         if (stages.isEmpty()) {
             end(
                     Errors.notRun(
@@ -76,6 +84,19 @@
         runStage();
     }
 
+    /** Plans anew if the first stage's version was withdrawn before anything ran. */
+    private boolean plansAnew(AttemptResult result) {
+        boolean withdrawn =
+                result instanceof AttemptRefused refused
+                        && refused.refusal().reason() == RefusalReason.VERSION_WITHDRAWN;
+        if (!withdrawn || stage > 0 || plansLeft == 0) {
+            return false;
+        }
+        plansLeft--;
+        runtime.control().run(this::plan);
+        return true;
+    }
+
     private boolean namesModel(String name) {
         boolean isClass = name.equals(call.requestClass().value());
         return !name.equals(ChatRequest.AUTO) && !isClass;
@@ -97,6 +118,9 @@
     }
 
     private void onCollected(AttemptResult result, CollectedAnswer answer) {
+        if (plansAnew(result)) {
+            return;
+        }
         if (!(result instanceof AttemptFinished finished)) {
             if (best.isPresent()) {
                 deliver(best.get());
@@ -124,54 +148,20 @@
     }
 
     private void onRating(DeliverableAnswer answer, double rating) {
-        ModelVersion version = answer.version();
-        runtime.state().shared().evidence().onRating(version.id(), rating);
-        runtime.metrics().value("rating_percent", "version", version.id().value(), percent(rating));
-        learnFrom(version, rating);
+        learning.onRating(stages, stage, bestRating, rating);
         if (best.isEmpty() || rating > bestRating) {
             best = Optional.of(answer);
             bestRating = rating;
         }
-        if (escalates(version)) {
+        if (learning.escalates(stages, stage, bestRating)) {
             stage++;
             runStage();
             return;
         }
-        runtime.state().cascade().onDelivered(call.requestClass(), target(), bestRating);
+        learning.onDelivered(bestRating);
         deliver(best.get());
     }
 
-    private void learnFrom(ModelVersion version, double rating) {
-        Cascade cascade = runtime.state().cascade();
-        if (stage == 0) {
-            cascade.onFirstStage(call.requestClass(), version, rating);
-            return;
-        }
-        ModelVersion before = stages.get(stage - 1);
-        cascade.onFurtherStage(call.requestClass(), before, version, bestRating, rating);
-    }
-
-    private boolean escalates(ModelVersion version) {
-        boolean last = stage == stages.size() - 1;
-        return !last
-                && runtime.state()
-                        .cascade()
-                        .escalates(call.requestClass(), version, stages.get(stage + 1), bestRating);
-    }
-
-    private static long percent(double rating) {
-        return Math.round(rating * 100);
-    }
-
-    private double target() {
-        return runtime.state()
-                .shared()
-                .catalog()
-                .requestClass(call.requestClass())
-                .map(RequestClass::qualityTarget)
-                .orElse(0.0);
-    }
-
     private void runStreamed() {
         putHeaders(version());
         ChatReplies replies = new ChatReplies(call.requestId(), version().id().value());
@@ -182,6 +172,9 @@
     }
 
     private void onStreamed(AttemptResult result, StreamedAnswer answer) {
+        if (plansAnew(result)) {
+            return;
+        }
         if (!(result instanceof AttemptFinished finished) || answer.callerGone()) {
             leave("failed");
             answer.fail(error(result));
@@ -198,34 +191,16 @@
                             }
                             leave("answered");
                             answer.finish();
-                            learn(answer.text());
+                            learning.learnLater(version(), chat.prompt(), answer.text());
                         });
     }
 
-    private void learn(String text) {
-        ModelVersion version = version();
-        runtime.ratings()
-                .rate(call.requestClass().value(), chat.prompt(), text)
-                .thenAccept(
-                        rating ->
-                                rating.ifPresent(
-                                        value ->
-                                                runtime.control()
-                                                        .run(() -> onLateRating(version, value))));
-    }
-
-    private void onLateRating(ModelVersion version, double rating) {
-        runtime.state().cascade().onFirstStage(call.requestClass(), version, rating);
-        runtime.state().cascade().onDelivered(call.requestClass(), target(), rating);
-        runtime.state().shared().evidence().onRating(version.id(), rating);
-    }
-
     private void count(AttemptFinished finished) {
         tokens += finished.end().getTokens();
         costMicros += finished.end().getTokens() * version().costMicrosPerToken();
     }
 
-    private java.util.concurrent.CompletableFuture<Boolean> secureBill() {
+    private CompletableFuture<Boolean> secureBill() {
         return runtime.bills()
                 .secure(
                         Bill.builder()
--- /dev/null
+++ b/entry/src/main/java/org/wigeonferry/entry/ChatLearning.java
@@ -0,0 +1,95 @@
+package org.wigeonferry.entry;
+
+import java.util.List;
+import org.wigeonferry.core_types.ClassId;
+import org.wigeonferry.core_types.ModelVersion;
+import org.wigeonferry.core_types.RequestClass;
+import org.wigeonferry.decisions.Cascade;
+
+/**
+ * What the ratings of one request's answers teach, and whether a further stage is worth its cost.
+ *
+ * <p>Used on the control thread, but for {@link #learnLater}, which any thread may call.
+ */
+final class ChatLearning {
+    private static final int PERCENT = 100;
+
+    private final Call call;
+    private final EntryRuntime runtime;
+    private final ClassId type;
+
+    ChatLearning(Call call, EntryRuntime runtime) {
+        this.call = call;
+        this.runtime = runtime;
+        this.type = call.requestClass();
+    }
+
+    /** Notes the rating of a stage; {@code bestBefore} is that of the best answer before it. */
+    void onRating(List<ModelVersion> stages, int stage, double bestBefore, double rating) {
+        ModelVersion version = stages.get(stage);
+        noteEvidence(version, rating);
+        if (stage == 0) {
+            cascade().onFirstStage(type, version, rating);
+            return;
+        }
+        cascade().onFurtherStage(type, stages.get(stage - 1), version, bestBefore, rating);
+    }
+
+    /** Tells whether a further stage is worth its cost. */
+    boolean escalates(List<ModelVersion> stages, int stage, double bestRating) {
+        if (stage == stages.size() - 1) {
+            return false;
+        }
+        return cascade().escalates(type, stages.get(stage), stages.get(stage + 1), bestRating);
+    }
+
+    /** Notes the rating of what is delivered. */
+    void onDelivered(double rating) {
+        double target =
+                runtime.state()
+                        .shared()
+                        .catalog()
+                        .requestClass(type)
+                        .map(RequestClass::qualityTarget)
+                        .orElse(0.0);
+        cascade().onDelivered(type, target, rating);
+    }
+
+    /** Has an answer rated that was delivered already. */
+    void learnLater(ModelVersion version, String prompt, String text) {
+        runtime.ratings()
+                .rate(type.value(), prompt, text)
+                .thenAccept(
+                        rating ->
+                                rating.ifPresent(
+                                        value ->
+                                                runtime.control()
+                                                        .run(() -> onLateRating(version, value))));
+    }
+
+    private void onLateRating(ModelVersion version, double rating) {
+        noteEvidence(version, rating);
+        cascade().onFirstStage(type, version, rating);
+        onDelivered(rating);
+    }
+
+    private void noteEvidence(ModelVersion version, double rating) {
+        runtime.state().shared().evidence().onRating(version.id(), rating);
+        runtime.metrics()
+                .value(
+                        "rating_percent",
+                        "version",
+                        version.id().value(),
+                        Math.round(rating * PERCENT));
+        runtime.metrics()
+                .value(
+                        "rating_percent",
+                        "account",
+                        call.account().id().value(),
+                        Math.round(rating * PERCENT));
+    }
+
+    private Cascade cascade() {
+        return runtime.state().cascade();
+    }
+}
--- a/entry/src/main/java/org/wigeonferry/entry/Entry.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Entry.java
@@ -69,7 +69,7 @@
     /** Starts the entry. */
     public Entry(Settings settings) throws StepException {
         shared = new ControlState(identity(settings), settings);
-        state = new EntryState(shared, settings);
+        state = new EntryState(control, shared, settings);
         stopGrace = settings.value(NodeKeys.STOP_GRACE);
         readiness = new Readiness(control, shared);
         platformClient = HttpClients.http1("platform-client", CONNECT_TIMEOUT);
--- a/entry/src/main/java/org/wigeonferry/entry/EntryKeys.java
+++ b/entry/src/main/java/org/wigeonferry/entry/EntryKeys.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.core_types.KeyDigest;
 import org.wigeonferry.node_runtime.NodeKeys;
@@ -29,7 +30,7 @@
                     "entry",
                     "admin-key-digests",
                     "salt:digest pairs, separated by commas",
-                    java.util.Optional.empty(),
+                    Optional.empty(),
                     "Digests of the operators' valid keys.",
                     EntryKeys::digests);
 
@@ -97,7 +98,7 @@
                     "rollout",
                     "steps",
                     "percentages, rising, separated by commas",
-                    java.util.Optional.of("1,5,25,50,100"),
+                    Optional.of("1,5,25,50,100"),
                     "Exposures through which a roll-out goes.",
                     text -> SettingKeys.words(text).stream().map(Integer::parseInt).toList());
 
--- a/entry/src/main/java/org/wigeonferry/entry/EntryState.java
+++ b/entry/src/main/java/org/wigeonferry/entry/EntryState.java
@@ -9,6 +9,7 @@
 import org.wigeonferry.decisions.SubsetSelection;
 import org.wigeonferry.decisions.UpstreamChoices;
 import org.wigeonferry.decisions.UpstreamRouter;
+import org.wigeonferry.node_runtime.Control;
 import org.wigeonferry.node_runtime.ControlState;
 import org.wigeonferry.settings.Settings;
 
@@ -26,11 +27,13 @@
     private final AccountLimits limits = new AccountLimits();
     private final RetryBudget retries;
     private final BillLedger bills;
+    private final CapacityLine line;
     private boolean stopping;
     private Runnable whenIdle = () -> {};
 
-    EntryState(ControlState shared, Settings settings) {
+    EntryState(Control control, ControlState shared, Settings settings) {
         this.shared = shared;
+        line = new CapacityLine(control);
         Random random = new Random(shared.identity().epoch());
         SubsetSelection subsets =
                 new SubsetSelection(shared.identity().node(), settings.value(EntryKeys.SUBSET));
@@ -61,6 +64,10 @@
         return retries;
     }
 
+    CapacityLine line() {
+        return line;
+    }
+
     BillLedger bills() {
         return bills;
     }
--- /dev/null
+++ b/entry/src/test/java/org/wigeonferry/entry/CapacityLineTest.java
@@ -0,0 +1,58 @@
+package org.wigeonferry.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.stand_ins.VirtualControl;
+import org.wigeonferry.stand_ins.VirtualTime;
+
+class CapacityLineTest {
+    private final VirtualTime time = new VirtualTime();
+    private final CapacityLine line = new CapacityLine(new VirtualControl(time));
+    private final List<Integer> woken = new ArrayList<>();
+
+    @Test
+    void firstInLineIsWokenFirst() {
+        join(5);
+        line.onRoom();
+        assertThat(woken).containsExactly(0, 1);
+    }
+
+    @Test
+    void timerWakesWithoutASign() {
+        join(5);
+        time.run(Duration.ofMillis(20));
+        assertThat(woken).containsExactly(0, 1, 2, 3, 4);
+    }
+
+    @Test
+    void oneTurnOfTheTimerWakesAFewOnly() {
+        join(1000);
+        time.run(Duration.ofMillis(20));
+        assertThat(woken).hasSize(32);
+    }
+
+    @Test
+    void requestThatJoinsAgainIsNotWokenInTheSameTurn() {
+        int[] tries = {0};
+        Runnable[] retry = new Runnable[1];
+        retry[0] =
+                () -> {
+                    tries[0]++;
+                    line.join(retry[0]);
+                };
+        line.join(retry[0]);
+        line.onRoom();
+        assertThat(tries[0]).isEqualTo(1);
+    }
+
+    private void join(int count) {
+        for (int i = 0; i < count; i++) {
+            int number = i;
+            line.join(() -> woken.add(number));
+        }
+    }
+}
--- a/measurements/src/main/java/org/wigeonferry/measurements/Workload.java
+++ b/measurements/src/main/java/org/wigeonferry/measurements/Workload.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.wigeonferry.core_types.AccountId;
@@ -89,7 +90,7 @@
         return ClientAccount.builder()
                 .id(new AccountId("account-" + number))
                 .versions(versions)
-                .keyDigests(java.util.List.of(new KeyDigest("00ff", "a".repeat(64))))
+                .keyDigests(List.of(new KeyDigest("00ff", "a".repeat(64))))
                 .build();
     }
 }
--- a/messages/src/main/java/org/wigeonferry/messages/Orders.java
+++ b/messages/src/main/java/org/wigeonferry/messages/Orders.java
@@ -37,6 +37,7 @@
         message.setDigest(order.digest());
         order.idempotencyKey().ifPresent(message::setIdempotencyKey);
         message.setSuspect(order.suspect());
+        message.setSuspectPosition(order.suspectPosition());
         message.setEntryAddress(replyAddress.toString());
         message.setResumeOffset(resumeOffset);
         message.setBody(ByteBuffer.wrap(body));
@@ -59,6 +60,7 @@
                     .digest(message.getDigest())
                     .idempotencyKey(Optional.ofNullable(message.getIdempotencyKey()))
                     .suspect(message.isSuspect())
+                    .suspectPosition(message.getSuspectPosition())
                     .build();
         } catch (IllegalArgumentException e) {
             throw new CodecException("read order", e);
--- a/messages/src/main/java/org/wigeonferry/messages/gen/FailureMessage.java
+++ b/messages/src/main/java/org/wigeonferry/messages/gen/FailureMessage.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField DETAIL_FIELD_DESC = new org.apache.thrift.protocol.TField("detail", org.apache.thrift.protocol.TType.STRING, (short)3);
   private static final org.apache.thrift.protocol.TField CRASHED_FIELD_DESC = new org.apache.thrift.protocol.TField("crashed", org.apache.thrift.protocol.TType.BOOL, (short)4);
   private static final org.apache.thrift.protocol.TField CONDEMNED_FIELD_DESC = new org.apache.thrift.protocol.TField("condemned", org.apache.thrift.protocol.TType.BOOL, (short)5);
+  private static final org.apache.thrift.protocol.TField POSITION_FIELD_DESC = new org.apache.thrift.protocol.TField("position", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FailureMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FailureMessageTupleSchemeFactory();
@@ -27,6 +28,7 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String detail; // required
   private boolean crashed; // required
   private boolean condemned; // required
+  private long position; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     PEER((short)2, "peer"),
     DETAIL((short)3, "detail"),
     CRASHED((short)4, "crashed"),
-    CONDEMNED((short)5, "condemned");
+    CONDEMNED((short)5, "condemned"),
+    POSITION((short)6, "position");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +63,8 @@
           return CRASHED;
         case 5: // CONDEMNED
           return CONDEMNED;
+        case 6: // POSITION
+          return POSITION;
         default:
           return null;
       }
@@ -105,6 +110,7 @@
   // isset id assignments
   private static final int __CRASHED_ISSET_ID = 0;
   private static final int __CONDEMNED_ISSET_ID = 1;
+  private static final int __POSITION_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -119,6 +125,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.CONDEMNED, new org.apache.thrift.meta_data.FieldMetaData("condemned", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.POSITION, new org.apache.thrift.meta_data.FieldMetaData("position", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FailureMessage.class, metaDataMap);
   }
@@ -131,7 +139,8 @@
     java.lang.String peer,
     java.lang.String detail,
     boolean crashed,
-    boolean condemned)
+    boolean condemned,
+    long position)
   {
     this();
     this.step = step;
@@ -141,6 +150,8 @@
     setCrashedIsSet(true);
     this.condemned = condemned;
     setCondemnedIsSet(true);
+    this.position = position;
+    setPositionIsSet(true);
   }
 
   /**
@@ -159,6 +170,7 @@
     }
     this.crashed = other.crashed;
     this.condemned = other.condemned;
+    this.position = other.position;
   }
 
   @Override
@@ -175,6 +187,8 @@
     this.crashed = false;
     setCondemnedIsSet(false);
     this.condemned = false;
+    setPositionIsSet(false);
+    this.position = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -298,6 +312,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONDEMNED_ISSET_ID, value);
   }
 
+  public long getPosition() {
+    return this.position;
+  }
+
+  public FailureMessage setPosition(long position) {
+    this.position = position;
+    setPositionIsSet(true);
+    return this;
+  }
+
+  public void unsetPosition() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __POSITION_ISSET_ID);
+  }
+
+  /** Returns true if field position is set (has been assigned a value) and false otherwise */
+  public boolean isSetPosition() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __POSITION_ISSET_ID);
+  }
+
+  public void setPositionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __POSITION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -341,6 +378,14 @@
       }
       break;
 
+    case POSITION:
+      if (value == null) {
+        unsetPosition();
+      } else {
+        setPosition((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -363,6 +408,9 @@
     case CONDEMNED:
       return isCondemned();
 
+    case POSITION:
+      return getPosition();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -385,6 +433,8 @@
       return isSetCrashed();
     case CONDEMNED:
       return isSetCondemned();
+    case POSITION:
+      return isSetPosition();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -447,6 +497,15 @@
         return false;
     }
 
+    boolean this_present_position = true;
+    boolean that_present_position = true;
+    if (this_present_position || that_present_position) {
+      if (!(this_present_position && that_present_position))
+        return false;
+      if (this.position != that.position)
+        return false;
+    }
+
     return true;
   }
 
@@ -470,6 +529,8 @@
 
     hashCode = hashCode * 8191 + ((condemned) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(position);
+
     return hashCode;
   }
 
@@ -531,6 +592,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPosition(), other.isSetPosition());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPosition()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.position, other.position);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -586,6 +657,10 @@
     sb.append("condemned:");
     sb.append(this.condemned);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("position:");
+    sb.append(this.position);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -603,6 +678,7 @@
     }
     // alas, we cannot check 'crashed' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'condemned' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'position' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -684,6 +760,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // POSITION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.position = iprot.readI64();
+              struct.setPositionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -698,6 +782,9 @@
       if (!struct.isSetCondemned()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'condemned' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetPosition()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'position' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -727,6 +814,9 @@
       oprot.writeFieldBegin(CONDEMNED_FIELD_DESC);
       oprot.writeBool(struct.condemned);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(POSITION_FIELD_DESC);
+      oprot.writeI64(struct.position);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -750,6 +840,7 @@
       oprot.writeString(struct.detail);
       oprot.writeBool(struct.crashed);
       oprot.writeBool(struct.condemned);
+      oprot.writeI64(struct.position);
     }
 
     @Override
@@ -765,6 +856,8 @@
       struct.setCrashedIsSet(true);
       struct.condemned = iprot.readBool();
       struct.setCondemnedIsSet(true);
+      struct.position = iprot.readI64();
+      struct.setPositionIsSet(true);
     }
   }
 
--- a/messages/src/main/java/org/wigeonferry/messages/gen/OrderMessage.java
+++ b/messages/src/main/java/org/wigeonferry/messages/gen/OrderMessage.java
@@ -28,6 +28,7 @@
   private static final org.apache.thrift.protocol.TField ENTRY_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("entryAddress", org.apache.thrift.protocol.TType.STRING, (short)13);
   private static final org.apache.thrift.protocol.TField RESUME_OFFSET_FIELD_DESC = new org.apache.thrift.protocol.TField("resumeOffset", org.apache.thrift.protocol.TType.I64, (short)14);
   private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC = new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRING, (short)15);
+  private static final org.apache.thrift.protocol.TField SUSPECT_POSITION_FIELD_DESC = new org.apache.thrift.protocol.TField("suspectPosition", org.apache.thrift.protocol.TType.I64, (short)16);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OrderMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OrderMessageTupleSchemeFactory();
@@ -47,6 +48,7 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String entryAddress; // required
   private long resumeOffset; // required
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
+  private long suspectPosition; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -64,7 +66,8 @@
     SUSPECT((short)12, "suspect"),
     ENTRY_ADDRESS((short)13, "entryAddress"),
     RESUME_OFFSET((short)14, "resumeOffset"),
-    BODY((short)15, "body");
+    BODY((short)15, "body"),
+    SUSPECT_POSITION((short)16, "suspectPosition");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -110,6 +113,8 @@
           return RESUME_OFFSET;
         case 15: // BODY
           return BODY;
+        case 16: // SUSPECT_POSITION
+          return SUSPECT_POSITION;
         default:
           return null;
       }
@@ -158,6 +163,7 @@
   private static final int __REMAININGMILLIS_ISSET_ID = 2;
   private static final int __SUSPECT_ISSET_ID = 3;
   private static final int __RESUMEOFFSET_ISSET_ID = 4;
+  private static final int __SUSPECTPOSITION_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.VERSION,_Fields.PLAIN_SERVICE,_Fields.OPERATION,_Fields.IDEMPOTENCY_KEY};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
@@ -193,6 +199,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.BODY, new org.apache.thrift.meta_data.FieldMetaData("body", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.SUSPECT_POSITION, new org.apache.thrift.meta_data.FieldMetaData("suspectPosition", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OrderMessage.class, metaDataMap);
   }
@@ -211,7 +219,8 @@
     boolean suspect,
     java.lang.String entryAddress,
     long resumeOffset,
-    java.nio.ByteBuffer body)
+    java.nio.ByteBuffer body,
+    long suspectPosition)
   {
     this();
     this.entry = entry;
@@ -230,6 +239,8 @@
     this.resumeOffset = resumeOffset;
     setResumeOffsetIsSet(true);
     this.body = org.apache.thrift.TBaseHelper.copyBinary(body);
+    this.suspectPosition = suspectPosition;
+    setSuspectPositionIsSet(true);
   }
 
   /**
@@ -272,6 +283,7 @@
     if (other.isSetBody()) {
       this.body = org.apache.thrift.TBaseHelper.copyBinary(other.body);
     }
+    this.suspectPosition = other.suspectPosition;
   }
 
   @Override
@@ -301,6 +313,8 @@
     setResumeOffsetIsSet(false);
     this.resumeOffset = 0;
     this.body = null;
+    setSuspectPositionIsSet(false);
+    this.suspectPosition = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -677,6 +691,29 @@
     }
   }
 
+  public long getSuspectPosition() {
+    return this.suspectPosition;
+  }
+
+  public OrderMessage setSuspectPosition(long suspectPosition) {
+    this.suspectPosition = suspectPosition;
+    setSuspectPositionIsSet(true);
+    return this;
+  }
+
+  public void unsetSuspectPosition() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SUSPECTPOSITION_ISSET_ID);
+  }
+
+  /** Returns true if field suspectPosition is set (has been assigned a value) and false otherwise */
+  public boolean isSetSuspectPosition() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SUSPECTPOSITION_ISSET_ID);
+  }
+
+  public void setSuspectPositionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUSPECTPOSITION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -804,6 +841,14 @@
       }
       break;
 
+    case SUSPECT_POSITION:
+      if (value == null) {
+        unsetSuspectPosition();
+      } else {
+        setSuspectPosition((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -856,6 +901,9 @@
     case BODY:
       return getBody();
 
+    case SUSPECT_POSITION:
+      return getSuspectPosition();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -898,6 +946,8 @@
       return isSetResumeOffset();
     case BODY:
       return isSetBody();
+    case SUSPECT_POSITION:
+      return isSetSuspectPosition();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1050,6 +1100,15 @@
         return false;
     }
 
+    boolean this_present_suspectPosition = true;
+    boolean that_present_suspectPosition = true;
+    if (this_present_suspectPosition || that_present_suspectPosition) {
+      if (!(this_present_suspectPosition && that_present_suspectPosition))
+        return false;
+      if (this.suspectPosition != that.suspectPosition)
+        return false;
+    }
+
     return true;
   }
 
@@ -1107,6 +1166,8 @@
     if (isSetBody())
       hashCode = hashCode * 8191 + body.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(suspectPosition);
+
     return hashCode;
   }
 
@@ -1268,6 +1329,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSuspectPosition(), other.isSetSuspectPosition());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSuspectPosition()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.suspectPosition, other.suspectPosition);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1399,6 +1470,10 @@
       org.apache.thrift.TBaseHelper.toString(this.body, sb);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("suspectPosition:");
+    sb.append(this.suspectPosition);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1428,6 +1503,7 @@
     if (body == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'body' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'suspectPosition' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -1589,6 +1665,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 16: // SUSPECT_POSITION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.suspectPosition = iprot.readI64();
+              struct.setSuspectPositionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1612,6 +1696,9 @@
       if (!struct.isSetResumeOffset()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'resumeOffset' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetSuspectPosition()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'suspectPosition' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -1693,6 +1780,9 @@
         oprot.writeBinary(struct.body);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(SUSPECT_POSITION_FIELD_DESC);
+      oprot.writeI64(struct.suspectPosition);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1722,6 +1812,7 @@
       oprot.writeString(struct.entryAddress);
       oprot.writeI64(struct.resumeOffset);
       oprot.writeBinary(struct.body);
+      oprot.writeI64(struct.suspectPosition);
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetVersion()) {
         optionals.set(0);
@@ -1775,6 +1866,8 @@
       struct.setResumeOffsetIsSet(true);
       struct.body = iprot.readBinary();
       struct.setBodyIsSet(true);
+      struct.suspectPosition = iprot.readI64();
+      struct.setSuspectPositionIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.version = iprot.readString();
--- a/messages/src/main/java/org/wigeonferry/messages/gen/SuspicionMessage.java
+++ b/messages/src/main/java/org/wigeonferry/messages/gen/SuspicionMessage.java
@@ -15,17 +15,23 @@
 
   private static final org.apache.thrift.protocol.TField DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("digest", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField CONDEMNED_FIELD_DESC = new org.apache.thrift.protocol.TField("condemned", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField POSITION_FIELD_DESC = new org.apache.thrift.protocol.TField("position", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField LOSSES_FIELD_DESC = new org.apache.thrift.protocol.TField("losses", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SuspicionMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SuspicionMessageTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String digest; // required
   private boolean condemned; // required
+  private long position; // required
+  private int losses; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     DIGEST((short)1, "digest"),
-    CONDEMNED((short)2, "condemned");
+    CONDEMNED((short)2, "condemned"),
+    POSITION((short)3, "position"),
+    LOSSES((short)4, "losses");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +51,10 @@
           return DIGEST;
         case 2: // CONDEMNED
           return CONDEMNED;
+        case 3: // POSITION
+          return POSITION;
+        case 4: // LOSSES
+          return LOSSES;
         default:
           return null;
       }
@@ -89,6 +99,8 @@
 
   // isset id assignments
   private static final int __CONDEMNED_ISSET_ID = 0;
+  private static final int __POSITION_ISSET_ID = 1;
+  private static final int __LOSSES_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -97,6 +109,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.CONDEMNED, new org.apache.thrift.meta_data.FieldMetaData("condemned", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.POSITION, new org.apache.thrift.meta_data.FieldMetaData("position", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LOSSES, new org.apache.thrift.meta_data.FieldMetaData("losses", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SuspicionMessage.class, metaDataMap);
   }
@@ -106,12 +122,18 @@
 
   public SuspicionMessage(
     java.lang.String digest,
-    boolean condemned)
+    boolean condemned,
+    long position,
+    int losses)
   {
     this();
     this.digest = digest;
     this.condemned = condemned;
     setCondemnedIsSet(true);
+    this.position = position;
+    setPositionIsSet(true);
+    this.losses = losses;
+    setLossesIsSet(true);
   }
 
   /**
@@ -123,6 +145,8 @@
       this.digest = other.digest;
     }
     this.condemned = other.condemned;
+    this.position = other.position;
+    this.losses = other.losses;
   }
 
   @Override
@@ -135,6 +159,10 @@
     this.digest = null;
     setCondemnedIsSet(false);
     this.condemned = false;
+    setPositionIsSet(false);
+    this.position = 0;
+    setLossesIsSet(false);
+    this.losses = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -185,6 +213,52 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONDEMNED_ISSET_ID, value);
   }
 
+  public long getPosition() {
+    return this.position;
+  }
+
+  public SuspicionMessage setPosition(long position) {
+    this.position = position;
+    setPositionIsSet(true);
+    return this;
+  }
+
+  public void unsetPosition() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __POSITION_ISSET_ID);
+  }
+
+  /** Returns true if field position is set (has been assigned a value) and false otherwise */
+  public boolean isSetPosition() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __POSITION_ISSET_ID);
+  }
+
+  public void setPositionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __POSITION_ISSET_ID, value);
+  }
+
+  public int getLosses() {
+    return this.losses;
+  }
+
+  public SuspicionMessage setLosses(int losses) {
+    this.losses = losses;
+    setLossesIsSet(true);
+    return this;
+  }
+
+  public void unsetLosses() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LOSSES_ISSET_ID);
+  }
+
+  /** Returns true if field losses is set (has been assigned a value) and false otherwise */
+  public boolean isSetLosses() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LOSSES_ISSET_ID);
+  }
+
+  public void setLossesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LOSSES_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -204,6 +278,22 @@
       }
       break;
 
+    case POSITION:
+      if (value == null) {
+        unsetPosition();
+      } else {
+        setPosition((java.lang.Long)value);
+      }
+      break;
+
+    case LOSSES:
+      if (value == null) {
+        unsetLosses();
+      } else {
+        setLosses((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -217,6 +307,12 @@
     case CONDEMNED:
       return isCondemned();
 
+    case POSITION:
+      return getPosition();
+
+    case LOSSES:
+      return getLosses();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -233,6 +329,10 @@
       return isSetDigest();
     case CONDEMNED:
       return isSetCondemned();
+    case POSITION:
+      return isSetPosition();
+    case LOSSES:
+      return isSetLosses();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -268,6 +368,24 @@
         return false;
     }
 
+    boolean this_present_position = true;
+    boolean that_present_position = true;
+    if (this_present_position || that_present_position) {
+      if (!(this_present_position && that_present_position))
+        return false;
+      if (this.position != that.position)
+        return false;
+    }
+
+    boolean this_present_losses = true;
+    boolean that_present_losses = true;
+    if (this_present_losses || that_present_losses) {
+      if (!(this_present_losses && that_present_losses))
+        return false;
+      if (this.losses != that.losses)
+        return false;
+    }
+
     return true;
   }
 
@@ -281,6 +399,10 @@
 
     hashCode = hashCode * 8191 + ((condemned) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(position);
+
+    hashCode = hashCode * 8191 + losses;
+
     return hashCode;
   }
 
@@ -312,6 +434,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPosition(), other.isSetPosition());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPosition()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.position, other.position);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLosses(), other.isSetLosses());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLosses()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.losses, other.losses);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -347,6 +489,14 @@
     sb.append("condemned:");
     sb.append(this.condemned);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("position:");
+    sb.append(this.position);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("losses:");
+    sb.append(this.losses);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -357,6 +507,8 @@
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'digest' was not present! Struct: " + toString());
     }
     // alas, we cannot check 'condemned' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'position' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'losses' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -414,6 +566,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // POSITION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.position = iprot.readI64();
+              struct.setPositionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // LOSSES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.losses = iprot.readI32();
+              struct.setLossesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -425,6 +593,12 @@
       if (!struct.isSetCondemned()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'condemned' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetPosition()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'position' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetLosses()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'losses' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -441,6 +615,12 @@
       oprot.writeFieldBegin(CONDEMNED_FIELD_DESC);
       oprot.writeBool(struct.condemned);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(POSITION_FIELD_DESC);
+      oprot.writeI64(struct.position);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LOSSES_FIELD_DESC);
+      oprot.writeI32(struct.losses);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -461,6 +641,8 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.digest);
       oprot.writeBool(struct.condemned);
+      oprot.writeI64(struct.position);
+      oprot.writeI32(struct.losses);
     }
 
     @Override
@@ -470,6 +652,10 @@
       struct.setDigestIsSet(true);
       struct.condemned = iprot.readBool();
       struct.setCondemnedIsSet(true);
+      struct.position = iprot.readI64();
+      struct.setPositionIsSet(true);
+      struct.losses = iprot.readI32();
+      struct.setLossesIsSet(true);
     }
   }
 
--- a/messages/src/main/thrift/messages.thrift
+++ b/messages/src/main/thrift/messages.thrift
@@ -18,6 +18,7 @@
   13: required string entryAddress;
   14: required i64 resumeOffset;
   15: required binary body;
+  16: required i64 suspectPosition;
 }
 
 /** Part of an answer, at its offset in bytes. */
@@ -54,6 +55,7 @@
   3: required string detail;
   4: required bool crashed;
   5: required bool condemned;
+  6: required i64 position;
 }
 
 /** One frame of an answer; names the request it belongs to. */
@@ -93,6 +95,8 @@
 struct SuspicionMessage {
   1: required string digest;
   2: required bool condemned;
+  3: required i64 position;
+  4: required i32 losses;
 }
 
 /** Evidence of one entry on one version since the entry started. */
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanges.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Exchanges.java
@@ -71,6 +71,8 @@
                                                     new Suspicion(
                                                             s.getDigest(),
                                                             s.isCondemned(),
+                                                            s.getPosition(),
+                                                            s.getLosses(),
                                                             nowNanos)));
             state.onHolder(sender, new Revision(message.getRevision()));
             NodeId incarnation =
@@ -128,7 +130,7 @@
     private static List<SuspicionMessage> suspicions(ControlState state, long nowNanos) {
         List<Suspicion> all = state.suspects().all(nowNanos);
         return all.subList(Math.max(0, all.size() - MAX_SUSPICIONS), all.size()).stream()
-                .map(s -> new SuspicionMessage(s.digest(), s.condemned()))
+                .map(s -> new SuspicionMessage(s.digest(), s.condemned(), s.position(), s.losses()))
                 .toList();
     }
 
--- a/settings/src/main/java/org/wigeonferry/settings/CatalogText.java
+++ b/settings/src/main/java/org/wigeonferry/settings/CatalogText.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.wigeonferry.core_types.Catalog;
 import org.wigeonferry.core_types.ClientAccount;
@@ -36,8 +38,7 @@
         return text.toString();
     }
 
-    private static <T> java.util.List<T> sorted(
-            Collection<T> values, java.util.function.Function<T, String> name) {
+    private static <T> List<T> sorted(Collection<T> values, Function<T, String> name) {
         return values.stream().sorted(Comparator.comparing(name)).toList();
     }
 
