Say it once: one check of accounts, one bounded map; test the callers' API

The check of key and body stood in two endpoints, a bounded map in three classes, reading of bodies in four stand-ins. Found on the way: a look-up lost its query string, and a model's name with capitals was refused as a bad class name.

CallerApiTest: 13 tests of the callers' API, the administration by the command line, strangers, malformed and oversized bodies.

--- a/command_line/src/test/java/org/wigeonferry/command_line/FailureHarness.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/FailureHarness.java
@@ -44,6 +44,10 @@
         return deployment;
     }
 
+    HttpClient client() {
+        return client;
+    }
+
     DemoPlan plan() {
         return deployment.plan();
     }
--- a/decisions/src/main/java/org/wigeonferry/decisions/EvidenceBoard.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/EvidenceBoard.java
@@ -1,7 +1,6 @@
 package org.wigeonferry.decisions;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.wigeonferry.core_types.NodeId;
 import org.wigeonferry.core_types.VersionId;
@@ -19,15 +18,7 @@
 
     private final Map<VersionId, VersionEvidence> own = new HashMap<>();
     private final Map<NodeId, Map<VersionId, VersionEvidence>> others =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(
-                        Map.Entry<NodeId, Map<VersionId, VersionEvidence>> eldest) {
-                    return size() > MAX_SENDERS;
-                }
-            };
+            new BoundedMap<>(MAX_SENDERS);
 
     /** Notes a whole answer. */
     public void onAnswer(VersionId version) {
--- a/decisions/src/main/java/org/wigeonferry/decisions/GainTable.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/GainTable.java
@@ -1,6 +1,5 @@
 package org.wigeonferry.decisions;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.wigeonferry.core_types.ClassId;
 import org.wigeonferry.core_types.ModelVersion;
@@ -19,15 +18,7 @@
     private static final double FADING = 0.99;
     private static final double PRIOR_WEIGHT = 3;
 
-    private final Map<String, MeanGain> gains =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, MeanGain> eldest) {
-                    return size() > MAX_ENTRIES;
-                }
-            };
+    private final Map<String, MeanGain> gains = new BoundedMap<>(MAX_ENTRIES);
 
     /** Gain in rating that is expected of a further stage. */
     public double expectedGain(ClassId type, ModelVersion from, ModelVersion to, double rating) {
--- a/decisions/src/main/java/org/wigeonferry/decisions/QualityTable.java
+++ b/decisions/src/main/java/org/wigeonferry/decisions/QualityTable.java
@@ -1,6 +1,5 @@
 package org.wigeonferry.decisions;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.wigeonferry.core_types.ClassId;
 import org.wigeonferry.core_types.ModelVersion;
@@ -15,15 +14,7 @@
     /** Most pairs of class and version. */
     public static final int MAX_ENTRIES = 4096;
 
-    private final Map<String, QualityRecord> records =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, QualityRecord> eldest) {
-                    return size() > MAX_ENTRIES;
-                }
-            };
+    private final Map<String, QualityRecord> records = new BoundedMap<>(MAX_ENTRIES);
 
     /** Mean rating that is expected of a version. */
     public double expectedRating(ClassId type, ModelVersion version) {
--- a/entry/src/main/java/org/wigeonferry/entry/CallReader.java
+++ b/entry/src/main/java/org/wigeonferry/entry/CallReader.java
@@ -5,9 +5,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import org.eclipse.jetty.server.Request;
-import org.wigeonferry.core_types.Catalog;
 import org.wigeonferry.core_types.ClassId;
-import org.wigeonferry.core_types.ClientAccount;
 import org.wigeonferry.core_types.RequestClass;
 import org.wigeonferry.core_types.RequestId;
 import org.wigeonferry.node_runtime.Secrets;
@@ -27,12 +25,8 @@
         this.defaultDeadline = defaultDeadline;
     }
 
-    Call read(
-            Request request,
-            ClientAccount account,
-            Catalog catalog,
-            Optional<String> className,
-            byte[] body) {
+    Call read(AccountCall call, Optional<String> className) {
+        Request request = call.request();
         ClassId type =
                 new ClassId(
                         header(request, Headers.CLASS).or(() -> className).orElse(DEFAULT_CLASS));
@@ -46,15 +40,18 @@
                         header(request, Headers.REQUEST_ID)
                                 .orElseGet(() -> UUID.randomUUID().toString()));
         Duration deadline =
-                catalog.requestClass(type).map(RequestClass::deadline).orElse(defaultDeadline);
+                call.catalog()
+                        .requestClass(type)
+                        .map(RequestClass::deadline)
+                        .orElse(defaultDeadline);
         return new Call(
-                account,
+                call.account(),
                 id,
                 type,
                 deadline,
                 System.nanoTime(),
-                digest(account, request, body),
-                body,
+                digest(call),
+                call.body(),
                 key);
     }
 
@@ -62,9 +59,10 @@
         return Optional.ofNullable(request.getHeaders().get(name));
     }
 
-    private static String digest(ClientAccount account, Request request, byte[] body) {
-        String target = account.id() + " " + Request.getPathInContext(request) + " ";
-        String bodyDigest = HexFormat.of().formatHex(Secrets.sha256(body));
+    private static String digest(AccountCall call) {
+        String target =
+                call.account().id() + " " + call.request().getHttpURI().getPathQuery() + " ";
+        String bodyDigest = HexFormat.of().formatHex(Secrets.sha256(call.body()));
         return Secrets.digest(target, bodyDigest);
     }
 }
--- a/entry/src/main/java/org/wigeonferry/entry/ChatEndpoint.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ChatEndpoint.java
@@ -1,14 +1,11 @@
 package org.wigeonferry.entry;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.eclipse.jetty.server.Request;
-import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.util.Callback;
-import org.wigeonferry.core_types.Catalog;
-import org.wigeonferry.core_types.ClassId;
 import org.wigeonferry.core_types.ClientAccount;
 import org.wigeonferry.core_types.VersionId;
-import org.wigeonferry.node_runtime.Bodies;
+import org.wigeonferry.node_runtime.Endpoint;
 import org.wigeonferry.node_runtime.Replies;
 
 /**
@@ -17,8 +14,6 @@
  * <p>Thread safe.
  */
 final class ChatEndpoint {
-    private static final int MAX_BODY_BYTES = 1 << 20;
-
     private final EntryRuntime runtime;
     private final CallReader reader;
 
@@ -27,58 +22,37 @@
         this.reader = reader;
     }
 
-    void serve(Request request, Response response, Callback callback) {
-        Catalog catalog = runtime.state().shared().catalog();
-        Optional<ClientAccount> account = Authenticator.account(request, catalog);
-        if (account.isEmpty()) {
-            Replies.error(response, callback, Errors.unauthorized());
-            return;
-        }
-        Bodies.read(request, MAX_BODY_BYTES)
-                .whenComplete(
-                        (body, failure) -> {
-                            if (failure != null) {
-                                Replies.error(
-                                        response,
-                                        callback,
-                                        Errors.badRequest(failure.getMessage()));
-                                return;
-                            }
-                            onBody(request, account.get(), catalog, body, response, callback);
-                        });
+    /** The endpoint, behind the check of the account's key. */
+    Endpoint endpoint() {
+        return AccountEndpoint.of(runtime.state().shared(), this::serve);
     }
 
-    private void onBody(
-            Request request,
-            ClientAccount account,
-            Catalog catalog,
-            byte[] body,
-            Response response,
-            Callback callback) {
-        Optional<ChatRequest> chat = ChatRequest.parse(body);
+    private void serve(AccountCall call) {
+        Optional<ChatRequest> chat = ChatRequest.parse(call.body());
         if (chat.isEmpty()) {
-            Replies.error(
-                    response,
-                    callback,
-                    Errors.badRequest("expected model and messages with text content"));
-            return;
-        }
-        try {
-            Optional<String> className =
-                    Optional.of(chat.get().model())
-                            .filter(name -> catalog.classes().containsKey(new ClassId(name)));
-            Call call = reader.read(request, account, catalog, className, body);
-            Optional<VersionId> session = session(request, account);
-            ChatCall chatCall =
-                    new ChatCall(call, chat.get(), session, runtime, response, callback);
-            CallAdmission.enter(
-                    call,
-                    runtime,
-                    chatCall::begin,
-                    error -> Replies.error(response, callback, error));
-        } catch (IllegalArgumentException e) {
-            Replies.error(response, callback, Errors.badRequest(e.getMessage()));
+            throw new IllegalArgumentException("expected model and messages with text content");
         }
+        Optional<String> className = Optional.of(chat.get().model()).filter(namesClass(call));
+        Call read = reader.read(call, className);
+        ChatCall chatCall =
+                new ChatCall(
+                        read,
+                        chat.get(),
+                        session(call.request(), call.account()),
+                        runtime,
+                        call.response(),
+                        call.callback());
+        CallAdmission.enter(
+                read,
+                runtime,
+                chatCall::begin,
+                error -> Replies.error(call.response(), call.callback(), error));
+    }
+
+    private static Predicate<String> namesClass(AccountCall call) {
+        return name ->
+                call.catalog().classes().keySet().stream()
+                        .anyMatch(type -> type.value().equals(name));
     }
 
     private Optional<VersionId> session(Request request, ClientAccount account) {
--- a/entry/src/main/java/org/wigeonferry/entry/Entry.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Entry.java
@@ -192,10 +192,10 @@
         ChatEndpoint chat = new ChatEndpoint(runtime, reader);
         ServiceEndpoint services = new ServiceEndpoint(runtime, reader);
         return new Routes()
-                .add("POST", "/v1/chat/completions", chat::serve)
+                .add("POST", "/v1/chat/completions", chat.endpoint())
                 .add("GET", "/v1/models", new ModelsEndpoint(shared)::serve)
-                .add("GET", ServiceEndpoint.PREFIX, services::serve)
-                .add("POST", ServiceEndpoint.PREFIX, services::serve)
+                .add("GET", ServiceEndpoint.PREFIX, services.endpoint())
+                .add("POST", ServiceEndpoint.PREFIX, services.endpoint())
                 .add("GET", "/ready", readiness::serve);
     }
 
--- a/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.wigeonferry.core_types.Bill;
-import org.wigeonferry.core_types.Catalog;
 import org.wigeonferry.core_types.ClientAccount;
 import org.wigeonferry.core_types.Refusal;
 import org.wigeonferry.core_types.RefusalReason;
@@ -14,7 +13,7 @@
 import org.wigeonferry.core_types.ServiceId;
 import org.wigeonferry.messages.gen.EndMessage;
 import org.wigeonferry.node_runtime.ApiError;
-import org.wigeonferry.node_runtime.Bodies;
+import org.wigeonferry.node_runtime.Endpoint;
 import org.wigeonferry.node_runtime.Replies;
 
 /**
@@ -26,9 +25,8 @@
 final class ServiceEndpoint {
     static final String PREFIX = "/v1/services/";
 
-    private static final int MAX_BODY_BYTES = 1 << 20;
     private static final long CALL_COST_MICROS = 1000;
-    private static final String OPERATION = "[A-Za-z0-9._/-]+";
+    private static final String OPERATION = "[A-Za-z0-9._/?=&%+-]+";
 
     private final EntryRuntime runtime;
     private final CallReader reader;
@@ -38,57 +36,39 @@
         this.reader = reader;
     }
 
-    void serve(Request request, Response response, Callback callback) {
-        Catalog catalog = runtime.state().shared().catalog();
-        Optional<ClientAccount> account = Authenticator.account(request, catalog);
-        if (account.isEmpty()) {
-            Replies.error(response, callback, Errors.unauthorized());
-            return;
-        }
-        Bodies.read(request, MAX_BODY_BYTES)
-                .whenComplete(
-                        (body, failure) -> {
-                            if (failure != null) {
-                                Replies.error(
-                                        response,
-                                        callback,
-                                        Errors.badRequest(failure.getMessage()));
-                                return;
-                            }
-                            try {
-                                onBody(request, account.get(), catalog, body, response, callback);
-                            } catch (IllegalArgumentException e) {
-                                Replies.error(
-                                        response, callback, Errors.badRequest(e.getMessage()));
-                            }
-                        });
+    /** The endpoint, behind the check of the account's key. */
+    Endpoint endpoint() {
+        return AccountEndpoint.of(runtime.state().shared(), this::serve);
     }
 
-    private void onBody(
-            Request request,
-            ClientAccount account,
-            Catalog catalog,
-            byte[] body,
-            Response response,
-            Callback callback) {
-        String path = Request.getPathInContext(request).substring(PREFIX.length());
-        String[] parts = path.split("/", 2);
+    private void serve(AccountCall call) {
+        String[] parts = target(call.request()).split("/", 2);
         if (parts.length < 2 || !parts[1].matches(OPERATION) || parts[1].contains("..")) {
             throw new IllegalArgumentException("expected " + PREFIX + "SERVICE/OPERATION");
         }
         ServiceId service = new ServiceId(parts[0]);
-        Call call = reader.read(request, account, catalog, Optional.of(parts[0]), body);
-        Optional<Refusal> refusal = check(request, account, service, call);
+        Call read = reader.read(call, Optional.of(parts[0]));
+        Optional<Refusal> refusal = check(call.request(), call.account(), service, read);
         if (refusal.isPresent()) {
-            Replies.error(response, callback, Errors.notRun(refusal.get()));
+            Replies.error(call.response(), call.callback(), Errors.notRun(refusal.get()));
             return;
         }
-        AttemptTarget target = AttemptTarget.service(service, request.getMethod() + " " + parts[1]);
+        String operation = call.request().getMethod() + " " + parts[1];
         CallAdmission.enter(
-                call,
+                read,
                 runtime,
-                () -> run(call, target, response, callback),
-                error -> Replies.error(response, callback, error));
+                () ->
+                        run(
+                                read,
+                                AttemptTarget.service(service, operation),
+                                call.response(),
+                                call.callback()),
+                error -> Replies.error(call.response(), call.callback(), error));
+    }
+
+    /** Path behind the prefix, with the query. */
+    private static String target(Request request) {
+        return request.getHttpURI().getPathQuery().substring(PREFIX.length());
     }
 
     private static Optional<Refusal> check(
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/Bodies.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/Bodies.java
@@ -1,8 +1,10 @@
 package org.wigeonferry.node_runtime;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.Callback;
 
 /**
  * Reads request bodies of bounded length.
@@ -20,4 +22,18 @@
         }
         return Content.Source.asByteArrayAsync(request, maxBytes);
     }
+
+    /** Reads the body and goes on; a body that can't be read fails the callback. */
+    public static void read(
+            Request request, int maxBytes, Callback callback, Consumer<byte[]> goOn) {
+        read(request, maxBytes)
+                .whenComplete(
+                        (body, failure) -> {
+                            if (failure != null) {
+                                callback.failed(failure);
+                                return;
+                            }
+                            goOn.accept(body);
+                        });
+    }
 }
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/DeskStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/DeskStandIn.java
@@ -75,19 +75,17 @@
 
     private void serveCall(Request request, Response response, Callback callback) {
         String key = Optional.ofNullable(request.getHeaders().get("Idempotency-Key")).orElse("");
-        Bodies.read(request, MAX_BODY_BYTES)
-                .whenComplete(
-                        (body, failure) -> {
-                            if (failure != null) {
-                                callback.failed(failure);
-                                return;
-                            }
-                            runs.merge(key, 1, Integer::sum);
-                            timer.schedule(
-                                    () -> finish(key, response, callback),
-                                    delay.toNanos(),
-                                    TimeUnit.NANOSECONDS);
-                        });
+        Bodies.read(
+                request,
+                MAX_BODY_BYTES,
+                callback,
+                body -> {
+                    runs.merge(key, 1, Integer::sum);
+                    timer.schedule(
+                            () -> finish(key, response, callback),
+                            delay.toNanos(),
+                            TimeUnit.NANOSECONDS);
+                });
     }
 
     private void finish(String key, Response response, Callback callback) {
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/EngineStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/EngineStandIn.java
@@ -116,15 +116,11 @@
     }
 
     private void serveChat(Request request, Response response, Callback callback) {
-        Bodies.read(request, MAX_BODY_BYTES)
-                .whenComplete(
-                        (body, failure) -> {
-                            if (failure != null) {
-                                callback.failed(failure);
-                                return;
-                            }
-                            start(request, body, response, callback);
-                        });
+        Bodies.read(
+                request,
+                MAX_BODY_BYTES,
+                callback,
+                body -> start(request, body, response, callback));
     }
 
     private void start(Request request, byte[] body, Response response, Callback callback) {
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/TableStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/TableStandIn.java
@@ -88,17 +88,15 @@
     }
 
     private void serveTransact(Request request, Response response, Callback callback) {
-        Bodies.read(request, MAX_BODY_BYTES)
-                .whenComplete(
-                        (body, failure) -> {
-                            if (failure != null) {
-                                callback.failed(failure);
-                                return;
-                            }
-                            writes.incrementAndGet();
-                            String text = new String(body, StandardCharsets.UTF_8);
-                            write(transaction(JsonCalls.parse(text)), response, callback);
-                        });
+        Bodies.read(
+                request,
+                MAX_BODY_BYTES,
+                callback,
+                body -> {
+                    writes.incrementAndGet();
+                    String text = new String(body, StandardCharsets.UTF_8);
+                    write(transaction(JsonCalls.parse(text)), response, callback);
+                });
     }
 
     private void write(TableTransaction transaction, Response response, Callback callback) {
@@ -166,19 +164,16 @@
     }
 
     private void serveRate(Request request, Response response, Callback callback) {
-        Bodies.read(request, MAX_BODY_BYTES)
-                .whenComplete(
-                        (body, failure) -> {
-                            if (failure != null) {
-                                callback.failed(failure);
-                                return;
-                            }
-                            JsonNode json =
-                                    JsonCalls.parse(new String(body, StandardCharsets.UTF_8));
-                            double rating = RatingText.rating(json.path("answer").asText());
-                            ObjectNode reply = JsonCalls.object().put("rating", rating);
-                            Replies.json(response, callback, OK, reply);
-                        });
+        Bodies.read(
+                request,
+                MAX_BODY_BYTES,
+                callback,
+                body -> {
+                    String text = new String(body, StandardCharsets.UTF_8);
+                    String answer = JsonCalls.parse(text).path("answer").asText();
+                    ObjectNode reply = JsonCalls.object().put("rating", RatingText.rating(answer));
+                    Replies.json(response, callback, OK, reply);
+                });
     }
 
     private void serveFault(Request request, Response response, Callback callback) {
