--- a/entry/src/main/java/org/wigeonferry/entry/Attempts.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Attempts.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.wigeonferry.core_types.Catalog;
 import org.wigeonferry.core_types.Refusal;
 import org.wigeonferry.core_types.RefusalReason;
@@ -118,8 +117,7 @@
         StartOrder order = order(catalog);
         attempt++;
         state.router().onSent(upstream.id());
-        long sent = control.nanoTime();
-        AtomicBoolean first = new AtomicBoolean(true);
+        TokenTimes times = new TokenTimes(call, control, runtime.metrics());
         runtime.attempts()
                 .send(
                         order,
@@ -127,9 +125,7 @@
                         progress.offset(),
                         call.body(),
                         (data, taken) -> {
-                            if (first.getAndSet(false)) {
-                                noteFirstToken(upstream, sent);
-                            }
+                            times.onBytes().ifPresent(latency -> noteFirstToken(upstream, latency));
                             progress.onBytes(data, taken);
                         })
                 .whenComplete(
@@ -142,8 +138,7 @@
                                         }));
     }
 
-    private void noteFirstToken(Upstream upstream, long sent) {
-        Duration latency = Duration.ofNanos(control.nanoTime() - sent);
+    private void noteFirstToken(Upstream upstream, Duration latency) {
         control.run(() -> state.router().onFirstToken(upstream.id(), latency));
     }
 
