Serve the users' platform: a routed request, a router and an adapter

Cause: the product spoke only its own interface and its own table protocol. Change: `routing` (pure decisions on routed requests), `router` (Jetty front, one connection a send, streams with resume, drain) and `platform` (codecs, store client, template keys); deploy file.

--- a/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
@@ -25,6 +25,11 @@
                         "entry", "--config FILE", "Runs an entry.", DaemonCommands.entry()),
                 new CommandEntry(
                         "agent", "--config FILE", "Runs an agent.", DaemonCommands.agent()),
+                new CommandEntry(
+                        "router",
+                        "--config FILE",
+                        "Runs a router on the platform.",
+                        DaemonCommands.router()),
                 new CommandEntry(
                         "stand-in",
                         "engine|desk|table --config FILE",
--- a/command_line/src/main/java/org/wigeonferry/command_line/DaemonCommands.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/DaemonCommands.java
@@ -14,6 +14,8 @@
 import org.wigeonferry.node_runtime.Daemon;
 import org.wigeonferry.node_runtime.LoggingSetup;
 import org.wigeonferry.node_runtime.NodeKeys;
+import org.wigeonferry.platform.PlatformKeys;
+import org.wigeonferry.platform.PlatformRouter;
 import org.wigeonferry.settings.SettingKey;
 import org.wigeonferry.settings.Settings;
 import org.wigeonferry.settings.SettingsReader;
@@ -52,6 +54,14 @@
         };
     }
 
+    static Command router() {
+        return arguments -> {
+            LoggingSetup.structured();
+            Settings settings = settings("router", arguments, PlatformKeys.all());
+            return run(PlatformRouter::new, settings, PlatformRouter.stopDeadline(settings));
+        };
+    }
+
     static Command standIn() {
         Map<String, DaemonStart> kinds =
                 Map.of(
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/AnswerDecoder.java
@@ -0,0 +1,14 @@
+package org.wigeonferry.router;
+
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * Reads the head of an upstream's answer.
+ *
+ * <p>Implementations are stateless and thread safe.
+ */
+@FunctionalInterface
+public interface AnswerDecoder {
+    /** Decodes a head. */
+    AnswerHead decode(int status, HttpFields fields);
+}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -0,0 +1,111 @@
+package org.wigeonferry.router;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+import org.slf4j.spi.LoggingEventBuilder;
+import org.wigeonferry.node_runtime.NodeMetrics;
+import org.wigeonferry.routing.Account;
+import org.wigeonferry.routing.Job;
+import org.wigeonferry.routing.Outcome;
+import org.wigeonferry.routing.RefusalCause;
+import org.wigeonferry.routing.Send;
+import org.wigeonferry.routing.SendReport;
+
+/**
+ * Logs and counts the decisions on one call.
+ *
+ * <p>Thread safe.
+ */
+final class CallLog {
+    private static final Logger LOG = LoggerFactory.getLogger("call");
+
+    private final NodeMetrics metrics;
+    private final Job job;
+    private final long startNanos;
+
+    CallLog(NodeMetrics metrics, Job job, long startNanos) {
+        this.metrics = metrics;
+        this.job = job;
+        this.startNanos = startNanos;
+    }
+
+    void placed(Send send) {
+        line(Level.INFO)
+                .addKeyValue("upstream", send.upstream().id())
+                .addKeyValue("peer", send.upstream().address())
+                .addKeyValue("release", send.upstream().release())
+                .addKeyValue("model", send.model().orElse(""))
+                .addKeyValue("revision", job.revision())
+                .addKeyValue("left_ms", send.left().toMillis())
+                .addKeyValue("unread_tokens", send.uncachedTokens())
+                .log("placed");
+    }
+
+    void sent(SendReport report, Optional<Throwable> cause) {
+        Outcome outcome = report.outcome();
+        metrics.count("sends_" + lower(outcome.name()), "service", job.service());
+        line(outcome.bad() ? Level.WARN : Level.INFO)
+                .addKeyValue("upstream", report.send().upstream().id())
+                .addKeyValue("peer", report.send().upstream().address())
+                .addKeyValue("outcome", lower(outcome.name()))
+                .addKeyValue("first_ms", report.firstAnswer().map(Duration::toMillis).orElse(-1L))
+                .addKeyValue("cause", cause.map(String::valueOf).orElse(""))
+                .log("send ended");
+    }
+
+    void firstAnswer() {
+        metrics.time("first_answer", "route", job.route().name(), elapsed());
+    }
+
+    void answered(int status) {
+        String account = job.account().map(Account::name).orElse("");
+        metrics.time("answered", "account", account, elapsed());
+        end(Level.INFO).addKeyValue("status", status).log("answered");
+    }
+
+    void refused(RefusalCause cause) {
+        metrics.count("refused_" + lower(cause.name()), "service", job.service());
+        end(Level.WARN)
+                .addKeyValue("cause", lower(cause.name()))
+                .addKeyValue("not_run", cause.neverRan())
+                .log("refused");
+    }
+
+    void brokenOff(RefusalCause cause) {
+        metrics.count("broken_off", "service", job.service());
+        end(Level.WARN).addKeyValue("cause", lower(cause.name())).log("stream broken off");
+    }
+
+    void left() {
+        metrics.count("callers_left", "service", job.service());
+        end(Level.INFO).log("caller left");
+    }
+
+    void condemned() {
+        line(Level.WARN).log("content refused from now on: it broke too many upstreams");
+    }
+
+    private LoggingEventBuilder end(Level level) {
+        return line(level)
+                .addKeyValue("runs", job.runs())
+                .addKeyValue("elapsed_ms", elapsed().toMillis());
+    }
+
+    private LoggingEventBuilder line(Level level) {
+        return LOG.atLevel(level)
+                .addKeyValue("request", job.request().id())
+                .addKeyValue("route", job.route().name())
+                .addKeyValue("service", job.service());
+    }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(System.nanoTime() - startNanos);
+    }
+
+    private static String lower(String name) {
+        return name.toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/DepartureConnector.java
@@ -0,0 +1,31 @@
+package org.wigeonferry.router;
+
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+
+/**
+ * Accepts connections that notice when their caller leaves.
+ *
+ * <p>Thread safe once started.
+ */
+final class DepartureConnector extends ServerConnector {
+    private static final int ACCEPTORS = 1;
+    private static final int SELECTORS = 1;
+
+    DepartureConnector(Server server, HttpConnectionFactory factory) {
+        super(server, ACCEPTORS, SELECTORS, factory);
+    }
+
+    @Override
+    protected SocketChannelEndPoint newEndPoint(
+            SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+        DepartureEndPoint endPoint = new DepartureEndPoint(channel, selector, key, getScheduler());
+        endPoint.setIdleTimeout(getIdleTimeout());
+        return endPoint;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/NotePublisher.java
@@ -0,0 +1,12 @@
+package org.wigeonferry.router;
+
+/**
+ * Gives a note to the other entries.
+ *
+ * <p>Implementations are thread safe and never block; a note that can't be given is logged.
+ */
+@FunctionalInterface
+public interface NotePublisher {
+    /** Publishes a note in place of the one before. */
+    void publish(EntryNote note);
+}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -0,0 +1,148 @@
+package org.wigeonferry.router;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.http.HttpFields;
+import org.wigeonferry.routing.Outcome;
+import org.wigeonferry.routing.Send;
+import org.wigeonferry.routing.SendReport;
+
+/**
+ * One send of a call and what comes back of it.
+ *
+ * <p>Invariant: its call hears of one end; a plain answer is passed on only when it is whole.
+ * Called by one traffic thread at a time, but for {@link #cancel}.
+ */
+final class RoutedSend implements SendListener {
+    private static final int MAX_ANSWER_BYTES = 16 << 20;
+
+    private final CallContext context;
+    private final RoutedCall call;
+    private final Send send;
+    private final AtomicBoolean over = new AtomicBoolean();
+    private final EventScanner scanner = new EventScanner();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private volatile Optional<AnswerHead> head = Optional.empty();
+    private volatile Runnable connection = () -> {};
+    private volatile Optional<Throwable> failure = Optional.empty();
+    private volatile long firstNanos;
+    private volatile long lastNanos;
+
+    RoutedSend(CallContext context, RoutedCall call, Send send) {
+        this.context = context;
+        this.call = call;
+        this.send = send;
+    }
+
+    void start(SendOrder order) {
+        connection = context.sender().send(order, this);
+        if (over.get()) {
+            connection.run();
+        }
+    }
+
+    /** Ends the send from our side. */
+    void cancel(Outcome outcome) {
+        finish(outcome, Optional.empty());
+    }
+
+    @Override
+    public void head(int status, HttpFields fields) {
+        head = Optional.of(context.protocol().answers().decode(status, fields));
+    }
+
+    @Override
+    public void bytes(ByteBuffer bytes) {
+        AnswerHead known = head.orElseThrow();
+        if (over.get()) {
+            return;
+        }
+        if (!known.answers(call.job().request().id())) {
+            return;
+        }
+        noteTime();
+        if (!streams(known)) {
+            collect(bytes);
+            return;
+        }
+        ByteBuffer events = scanner.take(bytes);
+        if (events.hasRemaining()) {
+            call.events(this, known, scanner, events);
+        }
+    }
+
+    @Override
+    public void ended() {
+        AnswerHead known = head.orElseThrow();
+        if (known.misdirected()) {
+            finish(Outcome.MISDIRECTED, Optional.empty());
+        } else if (known.notRun()) {
+            finish(Outcome.NOT_RUN, Optional.empty());
+        } else if (!known.answers(call.job().request().id())) {
+            finish(Outcome.BROKEN, Optional.empty());
+        } else if (streams(known)) {
+            boolean whole = !scanner.partial() && scanner.events() > 0;
+            finish(whole ? Outcome.ANSWERED : Outcome.BROKEN, Optional.empty());
+        } else {
+            Outcome outcome = known.failure() ? Outcome.FAILED : Outcome.ANSWERED;
+            finish(outcome, Optional.of(new WholeAnswer(known, body.toByteArray())));
+        }
+    }
+
+    @Override
+    public void failed(boolean written, Throwable cause) {
+        failure = Optional.of(cause);
+        finish(written ? Outcome.BROKEN : Outcome.NOT_SENT, Optional.empty());
+    }
+
+    /** What the send came to. */
+    SendReport report(Outcome outcome) {
+        Optional<Duration> first =
+                firstNanos == 0
+                        ? Optional.empty()
+                        : Optional.of(Duration.ofNanos(firstNanos - send.startNanos()));
+        Optional<Duration> gap =
+                scanner.events() < 2
+                        ? Optional.empty()
+                        : Optional.of(
+                                Duration.ofNanos(
+                                        (lastNanos - firstNanos) / (scanner.events() - 1)));
+        return new SendReport(send, outcome, first, gap, head.flatMap(AnswerHead::load));
+    }
+
+    /** Why the answer is not whole, if the connection says. */
+    Optional<Throwable> failure() {
+        return failure;
+    }
+
+    private boolean streams(AnswerHead known) {
+        return call.job().route().kind().streamed() && known.success();
+    }
+
+    private void noteTime() {
+        lastNanos = context.control().nanoTime();
+        if (firstNanos == 0) {
+            firstNanos = lastNanos;
+            context.control().run(() -> context.state().onFirstAnswer(send));
+        }
+    }
+
+    private void collect(ByteBuffer bytes) {
+        if (body.size() + bytes.remaining() > MAX_ANSWER_BYTES) {
+            finish(Outcome.BROKEN, Optional.empty());
+            return;
+        }
+        body.write(bytes.array(), bytes.arrayOffset() + bytes.position(), bytes.remaining());
+    }
+
+    private void finish(Outcome outcome, Optional<WholeAnswer> answer) {
+        if (!over.compareAndSet(false, true)) {
+            return;
+        }
+        connection.run();
+        call.ended(this, report(outcome), answer);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/RouterAddresses.java
@@ -0,0 +1,13 @@
+package org.wigeonferry.router;
+
+import org.wigeonferry.core_types.HostAddress;
+
+/**
+ * Where a router listens.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param callers requests to be routed
+ * @param ready readiness for the balancer, and metrics as text at {@code /metrics}
+ */
+public record RouterAddresses(HostAddress callers, HostAddress ready) {}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -0,0 +1,201 @@
+package org.wigeonferry.router;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonferry.node_runtime.Control;
+import org.wigeonferry.routing.RollOut;
+import org.wigeonferry.routing.RollOutState;
+import org.wigeonferry.routing.RollOutStatus;
+import org.wigeonferry.routing.RoutingConfig;
+import org.wigeonferry.routing.RoutingState;
+import org.wigeonferry.routing.Upstream;
+
+/**
+ * Takes news of the deployment into the control state, and drives what follows from them.
+ *
+ * <p>All methods but the constructor are called on the control thread.
+ */
+public final class RouterControl {
+    /** Entries whose notes stand still for so long are taken as gone. */
+    private static final Duration ENTRY_LIFE = Duration.ofSeconds(12);
+
+    /** Entries to reckon with until their rows have been read. */
+    public static final int ENTRIES_UNTIL_KNOWN = 8;
+
+    private static final Duration LOOK = Duration.ofMillis(500);
+
+    /** Looks between notes while nothing is rolled out, and while something is. */
+    private static final int CALM_LOOKS = 6;
+
+    private static final int BUSY_LOOKS = 2;
+
+    private static final Logger LOG = LoggerFactory.getLogger("control");
+
+    private final Control control;
+    private final RoutingState state;
+    private final NotePublisher notes;
+    private final RollOutReporter rollOuts;
+    private final Membership membership = new Membership(ENTRY_LIFE, ENTRIES_UNTIL_KNOWN);
+    private boolean storeAnswers;
+    private boolean upstreamsKnown;
+    private long beat;
+    private int looks;
+
+    /** Connects the state with those who publish for it. */
+    public RouterControl(
+            Control control, RoutingState state, NotePublisher notes, RollOutReporter rollOuts) {
+        this.control = control;
+        this.state = state;
+        this.notes = notes;
+        this.rollOuts = rollOuts;
+    }
+
+    /** Begins to look at roll-outs and to publish notes. */
+    public void start() {
+        control.every(LOOK, this::look);
+    }
+
+    /** The state. */
+    public RoutingState state() {
+        return state;
+    }
+
+    /** Takes a configuration. */
+    public void configured(RoutingConfig config) {
+        if (state.configured(config)) {
+            LOG.atInfo().addKeyValue("revision", config.revision()).log("configuration in force");
+        }
+    }
+
+    /** Takes the moment at which a question was asked that has been answered by now. */
+    public void confirmed(long askedNanos, long askedWallMillis) {
+        state.freshness().confirmed(askedNanos, askedWallMillis);
+    }
+
+    /** Takes whether the store answers. */
+    public void store(boolean answers) {
+        if (answers == storeAnswers) {
+            return;
+        }
+        storeAnswers = answers;
+        if (answers) {
+            state.upstreams().storeReturned(control.nanoTime());
+            LOG.info("store answers");
+            return;
+        }
+        LOG.warn("store does not answer");
+    }
+
+    /** Takes an upstream's description. */
+    public void upstream(Upstream upstream) {
+        Optional<Upstream> before = state.upstreams().upstream(upstream.id());
+        state.upstreams().put(upstream, control.nanoTime());
+        if (before.isEmpty() || before.get().leaving() != upstream.leaving()) {
+            LOG.atInfo()
+                    .addKeyValue("upstream", upstream.id())
+                    .addKeyValue("peer", upstream.address())
+                    .addKeyValue("service", upstream.service())
+                    .addKeyValue("release", upstream.release())
+                    .addKeyValue("zone", upstream.zone())
+                    .addKeyValue("leaving", upstream.leaving())
+                    .addKeyValue("cold_ms", upstream.coldLeft().toMillis())
+                    .log("upstream");
+        }
+    }
+
+    /** Takes the end of an upstream's description. */
+    public void upstreamGone(String id) {
+        if (state.upstreams().upstream(id).isEmpty()) {
+            return;
+        }
+        state.upstreams().remove(id, control.nanoTime());
+        LOG.atInfo().addKeyValue("upstream", id).log("upstream gone");
+    }
+
+    /** Notes that all upstreams were read once. */
+    public void upstreamsKnown() {
+        upstreamsKnown = true;
+    }
+
+    /** Opens or closes an availability zone. */
+    public void zone(String zone, boolean closed) {
+        state.zone(zone, closed);
+        LOG.atInfo().addKeyValue("zone", zone).addKeyValue("closed", closed).log("zone");
+    }
+
+    /** Takes an order to roll out. */
+    public void ordered(RollOut order) {
+        state.rollOuts().ordered(order);
+        LOG.atInfo()
+                .addKeyValue("service", order.service())
+                .addKeyValue("release", order.release())
+                .addKeyValue("revision", order.revision())
+                .log("roll-out ordered");
+    }
+
+    /** Takes the end of an order. */
+    public void withdrawn(String service) {
+        state.rollOuts().withdrawn(service);
+    }
+
+    /** Takes the state of a roll-out. */
+    public void stated(RollOutStatus status) {
+        state.rollOuts().stated(status);
+        LOG.atInfo()
+                .addKeyValue("service", status.service())
+                .addKeyValue("release", status.release())
+                .addKeyValue("state", status.state())
+                .log("roll-out state");
+    }
+
+    /** Takes another entry's note. */
+    public void note(String entry, EntryNote note) {
+        membership.seen(entry, control.nanoTime());
+        state.rollOuts().evidence(entry, note.evidence());
+    }
+
+    /** Notes that all entries' notes were read once. */
+    public void entriesKnown() {
+        membership.known();
+    }
+
+    /** Whether callers may be sent here. */
+    public boolean ready() {
+        return state.config().isPresent() && upstreamsKnown;
+    }
+
+    private void look() {
+        long now = control.nanoTime();
+        state.upstreams().expire(now);
+        state.entries(membership.count(now, storeAnswers));
+        if (!storeAnswers) {
+            return;
+        }
+        boolean busy = false;
+        for (RollOut order : state.rollOuts().orders()) {
+            busy |= !over(order);
+            state.rollOuts().next(order, now).ifPresent(next -> report(order, next));
+        }
+        looks++;
+        if (looks % (busy ? BUSY_LOOKS : CALM_LOOKS) == 0) {
+            beat++;
+            notes.publish(new EntryNote(beat, state.rollOuts().evidence()));
+        }
+    }
+
+    private boolean over(RollOut order) {
+        return state.rollOuts().state(order).filter(s -> s != RollOutState.RUNNING).isPresent();
+    }
+
+    private void report(RollOut order, RollOutState next) {
+        LOG.atInfo()
+                .addKeyValue("service", order.service())
+                .addKeyValue("release", order.release())
+                .addKeyValue("state", next)
+                .addKeyValue("evidence", state.rollOuts().total(order))
+                .log("roll-out decided");
+        rollOuts.report(order, next, state.rollOuts().status(order.service()));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/SendOrder.java
@@ -0,0 +1,14 @@
+package org.wigeonferry.router;
+
+import org.eclipse.jetty.http.HttpFields;
+import org.wigeonferry.core_types.HostAddress;
+
+/**
+ * A request as it goes to one upstream.
+ *
+ * <p>Immutable by convention: nobody changes the body. Thread safe.
+ *
+ * @param target path and query as the caller wrote them
+ */
+public record SendOrder(
+        HostAddress address, String method, String target, HttpFields fields, byte[] body) {}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/WholeAnswer.java
@@ -0,0 +1,8 @@
+package org.wigeonferry.router;
+
+/**
+ * An upstream's whole answer.
+ *
+ * <p>Immutable by convention: nobody changes the body. Thread safe.
+ */
+record WholeAnswer(AnswerHead head, byte[] body) {}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/Admission.java
@@ -0,0 +1,8 @@
+package org.wigeonferry.routing;
+
+/**
+ * The first answer to a request: whether routing goes on.
+ *
+ * <p>Implementations are immutable and thread safe.
+ */
+public sealed interface Admission permits Admitted, Refused {}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/Job.java
@@ -0,0 +1,102 @@
+package org.wigeonferry.routing;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A request while it is being served.
+ *
+ * <p>Invariant: {@link #runs} counts the sends that may have run. Owned by the control thread; the
+ * final fields may be read anywhere.
+ */
+public final class Job {
+    private final RoutedRequest request;
+    private final Route route;
+    private final Optional<Account> account;
+    private final String service;
+    private final long deadlineNanos;
+    private final long revision;
+    private final Set<Incarnation> tried = new HashSet<>();
+    private int runs;
+    private int sends;
+
+    Job(
+            RoutedRequest request,
+            Route route,
+            Optional<Account> account,
+            String service,
+            long deadlineNanos,
+            long revision) {
+        this.request = request;
+        this.route = route;
+        this.account = account;
+        this.service = service;
+        this.deadlineNanos = deadlineNanos;
+        this.revision = revision;
+    }
+
+    /** The request. */
+    public RoutedRequest request() {
+        return request;
+    }
+
+    /** Its route. */
+    public Route route() {
+        return route;
+    }
+
+    /** The caller's account. */
+    public Optional<Account> account() {
+        return account;
+    }
+
+    /** The service that the route's weights picked. */
+    public String service() {
+        return service;
+    }
+
+    /** When the caller's and the route's time is over. */
+    public long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    /** Revision of the configuration that admitted it. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Sends that may have run. */
+    public int runs() {
+        return runs;
+    }
+
+    boolean sentBefore() {
+        return sends > 0;
+    }
+
+    boolean tried(Incarnation incarnation) {
+        return tried.contains(incarnation);
+    }
+
+    void onSend(Incarnation incarnation) {
+        tried.add(incarnation);
+        sends++;
+        runs++;
+    }
+
+    void onProvedNotRun() {
+        runs--;
+    }
+
+    /** Names the session: the caller's, or the last part of the prompt. */
+    Optional<String> session() {
+        if (request.session().isPresent()) {
+            return request.session();
+        }
+        if (request.parts().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(request.parts().get(request.parts().size() - 1).id());
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/Placement.java
@@ -0,0 +1,8 @@
+package org.wigeonferry.routing;
+
+/**
+ * Where a job goes next, if anywhere.
+ *
+ * <p>Implementations are immutable and thread safe.
+ */
+public sealed interface Placement permits Send, Refused {}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/Refused.java
@@ -0,0 +1,8 @@
+package org.wigeonferry.routing;
+
+/**
+ * A request that is not served.
+ *
+ * <p>Immutable and thread safe.
+ */
+public record Refused(RefusalCause cause) implements Admission, Placement {}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/RequestKind.java
@@ -0,0 +1,35 @@
+package org.wigeonferry.routing;
+
+/**
+ * What may be repeated of a kind of request, and how it is answered.
+ *
+ * <p>Immutable and thread safe.
+ */
+public enum RequestKind {
+    /** Whole answer; may run any number of times. */
+    SAFE(true, false),
+    /** Whole answer; runs at most once. */
+    UNSAFE(false, false),
+    /** Streamed answer that can't be continued elsewhere; runs at most once. */
+    STREAM(false, true),
+    /** Streamed answer that another upstream can continue after the last event. */
+    RESUMABLE_STREAM(true, true);
+
+    private final boolean repeatable;
+    private final boolean streamed;
+
+    RequestKind(boolean repeatable, boolean streamed) {
+        this.repeatable = repeatable;
+        this.streamed = streamed;
+    }
+
+    /** Whether the same request may run more than once. */
+    public boolean repeatable() {
+        return repeatable;
+    }
+
+    /** Whether the answer is a stream of events. */
+    public boolean streamed() {
+        return streamed;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOut.java
@@ -0,0 +1,14 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+
+/**
+ * An operator's order to move a service to another release.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param revision version of the order in the store; a later order of the service has a higher one
+ * @param startNanos when this process learned of the order
+ */
+public record RollOut(
+        String service, String release, Duration duration, long revision, long startNanos) {}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
@@ -0,0 +1,202 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The roll-outs of all services: orders, states, evidence, and which release a job may run on.
+ *
+ * <p>Invariant: a state belongs to the newest order of its service, and never goes back to running.
+ * Owned by the control thread.
+ */
+public final class RollOutBoard {
+    /** Answers that a completion asks for, early and at the end of the time. */
+    private static final int MIN_GOOD = 12;
+
+    private static final int MIN_GOOD_LATE = 4;
+
+    /** Parts of an order's duration at which it may be completed, and must be if at all. */
+    private static final double COMPLETE_FROM = 0.7;
+
+    private static final double COMPLETE_LATE = 0.85;
+
+    private static final double FIRST_HALF = 0.5;
+
+    /** Sends to the new release that are allowed before its share is reached. */
+    private static final int FIRST_SENDS = 1;
+
+    private final double exposureShare;
+    private final SessionPins pins;
+    private final Map<String, RollOut> orders = new HashMap<>();
+    private final Map<String, RollOutStatus> statuses = new HashMap<>();
+    private final Map<String, RollOutEvidence> own = new HashMap<>();
+    private final Map<String, Map<String, RollOutEvidence>> foreign = new HashMap<>();
+
+    RollOutBoard(RoutingLimits limits) {
+        exposureShare = limits.exposureShare();
+        pins = new SessionPins(limits.sessionLife());
+    }
+
+    /** Takes an order. */
+    public void ordered(RollOut order) {
+        RollOut before = orders.get(order.service());
+        if (before != null && before.revision() >= order.revision()) {
+            return;
+        }
+        orders.put(order.service(), order);
+        own.put(
+                order.service(),
+                new RollOutEvidence(order.revision(), ReleaseEvidence.NONE, ReleaseEvidence.NONE));
+    }
+
+    /** Drops the order of a service. */
+    public void withdrawn(String service) {
+        orders.remove(service);
+        own.remove(service);
+    }
+
+    /** Takes a state. */
+    public void stated(RollOutStatus status) {
+        statuses.put(status.service(), status);
+    }
+
+    /** All orders. */
+    public List<RollOut> orders() {
+        return List.copyOf(orders.values());
+    }
+
+    /** The status row of a service, of whatever order. */
+    public Optional<RollOutStatus> status(String service) {
+        return Optional.ofNullable(statuses.get(service));
+    }
+
+    /** The state of an order; empty if none stands in the store. */
+    public Optional<RollOutState> state(RollOut order) {
+        return status(order.service())
+                .filter(status -> status.release().equals(order.release()))
+                .filter(status -> status.revision() > order.revision())
+                .map(RollOutStatus::state);
+    }
+
+    /** What this entry saw, by service. */
+    public Map<String, RollOutEvidence> evidence() {
+        return Map.copyOf(own);
+    }
+
+    /** Takes what another entry saw. */
+    public void evidence(String entry, Map<String, RollOutEvidence> evidence) {
+        foreign.put(entry, Map.copyOf(evidence));
+    }
+
+    /** The state that an order should get now, if it is to change. */
+    public Optional<RollOutState> next(RollOut order, long now) {
+        Optional<RollOutState> state = state(order);
+        if (state.isPresent() && state.get() != RollOutState.RUNNING) {
+            return Optional.empty();
+        }
+        RollOutEvidence all = total(order);
+        if (RollOutJudge.bad(all)) {
+            return Optional.of(RollOutState.ROLLED_BACK);
+        }
+        double part = part(order, now);
+        boolean early = part >= COMPLETE_FROM && RollOutJudge.good(all, MIN_GOOD);
+        boolean late = part >= COMPLETE_LATE && RollOutJudge.good(all, MIN_GOOD_LATE);
+        if (early || late) {
+            return Optional.of(RollOutState.COMPLETED);
+        }
+        return state.isEmpty() ? Optional.of(RollOutState.RUNNING) : Optional.empty();
+    }
+
+    /** Everything that all entries saw of an order. */
+    public RollOutEvidence total(RollOut order) {
+        RollOutEvidence sum = own.get(order.service());
+        for (Map<String, RollOutEvidence> of : foreign.values()) {
+            RollOutEvidence other = of.get(order.service());
+            if (other != null) {
+                sum = sum.plus(other);
+            }
+        }
+        return sum;
+    }
+
+    /** The rule that a job's upstream has to keep. */
+    UpstreamRule rule(Job job, long now) {
+        Optional<String> pinned =
+                job.session().flatMap(session -> pins.release(job.service(), session, now));
+        RollOut order = orders.get(job.service());
+        if (order == null) {
+            return (upstream, j, t) -> true;
+        }
+        String fresh = order.release();
+        UpstreamRule onlyFresh = (upstream, j, t) -> upstream.description().release().equals(fresh);
+        UpstreamRule onlyOld = (upstream, j, t) -> !upstream.description().release().equals(fresh);
+        Optional<RollOutState> state = state(order);
+        if (state.equals(Optional.of(RollOutState.COMPLETED))) {
+            return onlyFresh;
+        }
+        if (state.equals(Optional.of(RollOutState.ROLLED_BACK)) || RollOutJudge.bad(total(order))) {
+            return onlyOld;
+        }
+        boolean mayGrow = mayGrow(order, now);
+        if (pinned.isPresent()) {
+            boolean onFresh = pinned.get().equals(fresh);
+            return onFresh && mayGrow ? onlyFresh : onlyOld;
+        }
+        return mayGrow ? onlyFresh : onlyOld;
+    }
+
+    void onSend(Send send, Job job, long now) {
+        String release = send.upstream().release();
+        job.session().ifPresent(session -> pins.note(job.service(), session, release, now));
+        add(send, new ReleaseEvidence(1, 0, 0, 0, 0, 0));
+    }
+
+    void onEnd(SendReport report, Job job, long now) {
+        String release = report.send().upstream().release();
+        job.session().ifPresent(session -> pins.note(job.service(), session, release, now));
+        if (report.outcome() == Outcome.ANSWERED) {
+            long first = report.firstAnswer().map(RollOutBoard::micros).orElse(0L);
+            long gap = report.meanGap().map(RollOutBoard::micros).orElse(0L);
+            int gaps = report.meanGap().isPresent() ? 1 : 0;
+            add(report.send(), new ReleaseEvidence(0, 1, 0, first, gap, gaps));
+        } else if (report.outcome().bad()) {
+            add(report.send(), new ReleaseEvidence(0, 0, 1, 0, 0, 0));
+        }
+    }
+
+    private boolean mayGrow(RollOut order, long now) {
+        if (part(order, now) >= 1) {
+            return false;
+        }
+        RollOutEvidence seen = own.get(order.service());
+        long all = seen.fresh().sends() + seen.old().sends();
+        return seen.fresh().sends() < exposureShare * all + FIRST_SENDS;
+    }
+
+    private void add(Send send, ReleaseEvidence more) {
+        String service = send.upstream().service();
+        RollOutEvidence seen = own.get(service);
+        RollOut order = orders.get(service);
+        if (seen == null || order == null) {
+            return;
+        }
+        boolean fresh = send.upstream().release().equals(order.release());
+        own.put(
+                service,
+                new RollOutEvidence(
+                        seen.revision(),
+                        fresh ? seen.fresh().plus(more) : seen.fresh(),
+                        fresh ? seen.old() : seen.old().plus(more)));
+    }
+
+    private static double part(RollOut order, long now) {
+        return (double) (now - order.startNanos()) / order.duration().toNanos();
+    }
+
+    private static long micros(Duration duration) {
+        return duration.toNanos() / 1000;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingConfig.java
@@ -0,0 +1,77 @@
+package org.wigeonferry.routing;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * One revision of the routing configuration.
+ *
+ * <p>Invariant: the routes of a host stand longest prefix first. Immutable and thread safe.
+ */
+public final class RoutingConfig {
+    private final long revision;
+    private final Map<String, List<Route>> routesByHost;
+    private final Map<String, ServiceTraits> services;
+    private final Map<String, Account> accountsByKey;
+    private final boolean keyed;
+    private final int maxBodyBytes;
+
+    RoutingConfig(RoutingConfigBuilder builder) {
+        revision = builder.revision;
+        routesByHost = new HashMap<>();
+        builder.routes.stream()
+                .collect(Collectors.groupingBy(Route::host))
+                .forEach((host, routes) -> routesByHost.put(host, longestFirst(routes)));
+        services = Map.copyOf(builder.services);
+        accountsByKey = Map.copyOf(builder.accountsByKey);
+        keyed = builder.keyed;
+        maxBodyBytes = builder.maxBodyBytes;
+    }
+
+    /** Starts a builder. */
+    public static RoutingConfigBuilder builder(long revision) {
+        return new RoutingConfigBuilder(revision);
+    }
+
+    /** Revision; rises with each change. */
+    public long revision() {
+        return revision;
+    }
+
+    /** The route with the longest prefix of a path. */
+    public Optional<Route> route(String host, String path) {
+        return routesByHost.getOrDefault(host, List.of()).stream()
+                .filter(route -> path.startsWith(route.prefix()))
+                .findFirst();
+    }
+
+    /** Traits of a service. */
+    public Optional<ServiceTraits> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** The account that holds a key. */
+    public Optional<Account> account(String key) {
+        return Optional.ofNullable(accountsByKey.get(key));
+    }
+
+    /** Whether routes that aren't open need a key. */
+    public boolean keyed() {
+        return keyed;
+    }
+
+    /** Most bytes of a request body. */
+    public int maxBodyBytes() {
+        return maxBodyBytes;
+    }
+
+    private static List<Route> longestFirst(List<Route> routes) {
+        return routes.stream()
+                .sorted(Comparator.comparingInt((Route route) -> -route.prefix().length()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/Send.java
@@ -0,0 +1,26 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * One send of a request to an upstream.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param model model that is named to the upstream
+ * @param rank urgency that is named to the upstream
+ * @param left time that the caller and the route leave
+ * @param uncachedTokens prompt tokens that the upstream probably has to read
+ * @param startNanos when it was decided
+ */
+public record Send(
+        Upstream upstream,
+        Optional<String> account,
+        Optional<String> model,
+        OptionalInt rank,
+        Duration left,
+        int uncachedTokens,
+        long startNanos)
+        implements Placement {}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -0,0 +1,93 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * The upstreams that may be used.
+ *
+ * <p>Invariant: at most one incarnation an id. Entries that vanish just after an outage of the
+ * store are kept for a grace time, since a living upstream comes back within it. Owned by the
+ * control thread.
+ */
+public final class UpstreamDirectory {
+    private final Duration lapseGrace;
+    private final Function<String, Optional<ServiceTraits>> traits;
+    private final Map<String, UpstreamState> states = new HashMap<>();
+    private final Map<String, Long> lapsing = new HashMap<>();
+    private long graceUntilNanos;
+    private boolean inGrace;
+
+    UpstreamDirectory(Duration lapseGrace, Function<String, Optional<ServiceTraits>> traits) {
+        this.lapseGrace = lapseGrace;
+        this.traits = traits;
+    }
+
+    /** Notes that the store answers again after an outage. */
+    public void storeReturned(long now) {
+        inGrace = true;
+        graceUntilNanos = now + lapseGrace.toNanos();
+    }
+
+    /** Takes an upstream's description. */
+    public void put(Upstream upstream, long now) {
+        UpstreamState state = states.get(upstream.id());
+        lapsing.remove(upstream.id());
+        if (state == null || !state.description().incarnation().equals(upstream.incarnation())) {
+            states.put(upstream.id(), fresh(upstream, now));
+            return;
+        }
+        state.describe(upstream, now);
+    }
+
+    /** Takes away an upstream. */
+    public void remove(String id, long now) {
+        if (inGrace && graceUntilNanos - now > 0) {
+            lapsing.put(id, graceUntilNanos);
+            return;
+        }
+        states.remove(id);
+    }
+
+    /** Drops upstreams whose grace is over. */
+    public void expire(long now) {
+        lapsing.entrySet()
+                .removeIf(
+                        entry -> {
+                            boolean over = entry.getValue() - now <= 0;
+                            if (over) {
+                                states.remove(entry.getKey());
+                            }
+                            return over;
+                        });
+    }
+
+    /** The ids of all known upstreams. */
+    public Collection<String> ids() {
+        return java.util.List.copyOf(states.keySet());
+    }
+
+    /** Describes an upstream. */
+    public Optional<Upstream> upstream(String id) {
+        return Optional.ofNullable(states.get(id)).map(UpstreamState::description);
+    }
+
+    Collection<UpstreamState> states() {
+        return states.values();
+    }
+
+    Optional<UpstreamState> state(Incarnation incarnation) {
+        return Optional.ofNullable(states.get(incarnation.id()))
+                .filter(state -> state.description().incarnation().equals(incarnation));
+    }
+
+    private UpstreamState fresh(Upstream upstream, long now) {
+        Optional<EngineTraits> engine =
+                traits.apply(upstream.service()).flatMap(ServiceTraits::engine);
+        return new UpstreamState(upstream, engine, now);
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamLoad.java
@@ -0,0 +1,8 @@
+package org.wigeonferry.routing;
+
+/**
+ * An upstream's own count of its work.
+ *
+ * <p>Immutable and thread safe.
+ */
+public record UpstreamLoad(int running, int waiting, int slots) {}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -0,0 +1,131 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * What this entry knows of one upstream beyond its own description.
+ *
+ * <p>Owned by the control thread.
+ */
+final class UpstreamState {
+    private static final int DEFAULT_CAPACITY_TOKENS = 200_000;
+    private static final Duration FIRST_SUSPENSION = Duration.ofMillis(400);
+    private static final int MAX_DOUBLINGS = 3;
+    private static final double FAILURE_WEIGHT = 0.15;
+
+    /** How long an upstream's own count of its work is believed. */
+    private static final Duration LOAD_LIFE = Duration.ofSeconds(1);
+
+    private static final Duration COLD_SPAN = Duration.ofSeconds(1);
+
+    private Upstream description;
+    private long coldUntilNanos;
+    private final PromptMemory memory;
+    private final SlidingCount recent = new SlidingCount(COLD_SPAN);
+    private int running;
+    private long unreadTokens;
+    private double failures;
+    private int breaks;
+    private long suspendedUntilNanos;
+    private Optional<UpstreamLoad> load = Optional.empty();
+    private long loadNanos;
+
+    UpstreamState(Upstream description, Optional<EngineTraits> engine, long now) {
+        this.description = description;
+        memory =
+                new PromptMemory(
+                        engine.map(EngineTraits::capacityTokens).orElse(DEFAULT_CAPACITY_TOKENS)
+                                / 2);
+        suspendedUntilNanos = now;
+        coldUntilNanos = now + description.coldLeft().toNanos();
+    }
+
+    Upstream description() {
+        return description;
+    }
+
+    void describe(Upstream next, long now) {
+        description = next;
+        if (!next.coldLeft().isZero()) {
+            coldUntilNanos = now + next.coldLeft().toNanos();
+        }
+    }
+
+    void coldUntil(long nanos) {
+        coldUntilNanos = nanos;
+    }
+
+    boolean cold(long now) {
+        return coldUntilNanos - now > 0;
+    }
+
+    int sentLastSecond(long now) {
+        return recent.count(now);
+    }
+
+    boolean suspended(long now) {
+        return suspendedUntilNanos - now > 0;
+    }
+
+    int running() {
+        return running;
+    }
+
+    long unreadTokens() {
+        return unreadTokens;
+    }
+
+    double failures() {
+        return failures;
+    }
+
+    int held(String model, RoutedRequest request) {
+        return memory.held(model, request.parts());
+    }
+
+    /** Work of other entries at this upstream, as far as its own count is recent. */
+    int foreignWork(long now) {
+        if (load.isEmpty() || now - loadNanos > LOAD_LIFE.toNanos()) {
+            return 0;
+        }
+        return Math.max(0, load.get().running() + load.get().waiting() - running);
+    }
+
+    void onSend(Send send, RoutedRequest request, long now) {
+        running++;
+        unreadTokens += send.uncachedTokens();
+        recent.add(now);
+        send.model().ifPresent(model -> memory.read(model, request.parts()));
+    }
+
+    void onRead(Send send) {
+        unreadTokens -= send.uncachedTokens();
+    }
+
+    void onEnd(SendReport report, long now) {
+        running--;
+        report.load().ifPresent(value -> noteLoad(value, now));
+        Outcome outcome = report.outcome();
+        if (outcome == Outcome.ANSWERED) {
+            breaks = 0;
+        }
+        if (outcome == Outcome.ANSWERED || outcome.bad()) {
+            failures += FAILURE_WEIGHT * ((outcome.bad() ? 1 : 0) - failures);
+        }
+        if (outcome == Outcome.NOT_SENT || outcome == Outcome.BROKEN || outcome == Outcome.SILENT) {
+            suspend(now);
+        }
+    }
+
+    private void noteLoad(UpstreamLoad value, long now) {
+        load = Optional.of(value);
+        loadNanos = now;
+    }
+
+    private void suspend(long now) {
+        long pause = FIRST_SUSPENSION.toNanos() << Math.min(breaks, MAX_DOUBLINGS);
+        suspendedUntilNanos = now + pause;
+        breaks++;
+    }
+}
