Ask the small model first, draw canaries by session, refuse late requests while stopping

Ruled out: the largest model under less load (the price is per token); judging times without warm-up.

--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -41,10 +41,11 @@
                 .addKeyValue("revision", job.revision())
                 .addKeyValue("left_ms", send.left().toMillis())
                 .addKeyValue("unread_tokens", send.uncachedTokens())
+                .addKeyValue("session", job.request().session().orElse(""))
                 .log("placed");
     }
 
-    void sent(SendReport report, Optional<Throwable> cause) {
+    void sent(SendReport report, Optional<AnswerHead> head, Optional<Throwable> cause) {
         Outcome outcome = report.outcome();
         metrics.count("sends_" + lower(outcome.name()), "service", job.service());
         line(outcome.bad() ? Level.WARN : Level.INFO)
@@ -52,6 +53,8 @@
                 .addKeyValue("peer", report.send().upstream().address())
                 .addKeyValue("outcome", lower(outcome.name()))
                 .addKeyValue("first_ms", report.firstAnswer().map(Duration::toMillis).orElse(-1L))
+                .addKeyValue("status", head.map(AnswerHead::status).orElse(0))
+                .addKeyValue("confidence", head.flatMap(AnswerHead::confidence).orElse(-1))
                 .addKeyValue("cause", cause.map(String::valueOf).orElse(""))
                 .log("send ended");
     }
--- a/router/src/main/java/org/wigeonferry/router/FrontHandler.java
+++ b/router/src/main/java/org/wigeonferry/router/FrontHandler.java
@@ -1,5 +1,6 @@
 package org.wigeonferry.router;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
@@ -26,18 +27,23 @@
 final class FrontHandler extends Handler.Abstract.NonBlocking {
     private static final Logger LOG = LoggerFactory.getLogger("call");
 
+    /** Time after a stop signal in which requests are still taken. */
+    private static final Duration LAST_ADMISSION = Duration.ofMillis(2700);
+
     private static final long NO_REVISION = -1;
 
     private final CallContext context;
     private volatile boolean stopping;
+    private volatile boolean closed;
 
     FrontHandler(CallContext context) {
         this.context = context;
     }
 
-    /** From now on each answer closes its connection. */
+    /** From now on each answer closes its connection; later requests may have no time to end. */
     void onStopping() {
         stopping = true;
+        context.control().after(LAST_ADMISSION, () -> closed = true);
     }
 
     @Override
@@ -51,6 +57,10 @@
         if (stopping) {
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
+        if (closed) {
+            refuse(reply, decoded.get().id(), RefusalCause.STOPPING, NO_REVISION);
+            return true;
+        }
         context.inFlight().incrementAndGet();
         context.control().run(() -> admit(request, decoded.get(), reply));
         return true;
--- a/router/src/main/java/org/wigeonferry/router/Refusals.java
+++ b/router/src/main/java/org/wigeonferry/router/Refusals.java
@@ -30,6 +30,7 @@
         STATUS.put(RefusalCause.TIMED_OUT, 504);
         RETRY_AFTER.put(RefusalCause.NO_CONFIGURATION, Duration.ofMillis(300));
         RETRY_AFTER.put(RefusalCause.STALE_CONFIGURATION, Duration.ofMillis(200));
+        RETRY_AFTER.put(RefusalCause.STOPPING, Duration.ofMillis(20));
         RETRY_AFTER.put(RefusalCause.NO_UPSTREAM, Duration.ofMillis(300));
         RETRY_AFTER.put(RefusalCause.NOT_RUN, Duration.ofMillis(300));
         RETRY_AFTER.put(RefusalCause.OVERLOADED, Duration.ofMillis(500));
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -61,6 +61,11 @@
         return lastEvent;
     }
 
+    /** Whether the caller has events already. */
+    synchronized boolean streaming() {
+        return streaming;
+    }
+
     /** Takes whole events of a stream. */
     synchronized void events(
             RoutedSend send, AnswerHead head, EventScanner scanner, ByteBuffer events) {
@@ -78,7 +83,7 @@
 
     /** Takes the end of a send. */
     void ended(RoutedSend send, SendReport report, Optional<WholeAnswer> answer) {
-        log.sent(report, send.failure());
+        log.sent(report, send.answerHead(), send.failure());
         context.control()
                 .run(
                         () -> {
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -51,7 +51,13 @@
 
     @Override
     public void head(int status, HttpFields fields) {
-        head = Optional.of(context.protocol().answers().decode(status, fields));
+        AnswerHead known = context.protocol().answers().decode(status, fields);
+        head = Optional.of(known);
+        long now = context.control().nanoTime();
+        context.control().run(() -> context.state().onHead(send, known.load(), now));
+        if (known.success() && doubted(known)) {
+            finish(Outcome.DOUBTED, Optional.empty());
+        }
     }
 
     @Override
@@ -110,7 +116,12 @@
                         : Optional.of(
                                 Duration.ofNanos(
                                         (lastNanos - firstNanos) / (scanner.events() - 1)));
-        return new SendReport(send, outcome, first, gap, head.flatMap(AnswerHead::load));
+        return new SendReport(send, outcome, head.isPresent(), first, gap);
+    }
+
+    /** The head of the answer, once it came. */
+    Optional<AnswerHead> answerHead() {
+        return head;
     }
 
     /** Why the answer is not whole, if the connection says. */
@@ -122,11 +133,16 @@
         return call.job().route().kind().streamed() && known.success();
     }
 
+    private boolean doubted(AnswerHead known) {
+        return known.answers(call.job().request().id())
+                && known.confidence().filter(value -> value < send.acceptFrom()).isPresent()
+                && !call.streaming();
+    }
+
     private void noteTime() {
         lastNanos = context.control().nanoTime();
         if (firstNanos == 0) {
             firstNanos = lastNanos;
-            context.control().run(() -> context.state().onFirstAnswer(send));
         }
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/EngineTraits.java
+++ b/routing/src/main/java/org/wigeonferry/routing/EngineTraits.java
@@ -15,4 +15,11 @@
     public EngineTraits {
         modelCosts = Map.copyOf(modelCosts);
     }
+
+    /** Work that a token is for a model, as a share of the dearest model's, judged by cost. */
+    public double workShare(String model) {
+        double dearest = modelCosts.values().stream().mapToDouble(cost -> cost).max().orElse(0);
+        double cost = modelCosts.getOrDefault(model, dearest);
+        return dearest <= 0 ? 1 : cost / dearest;
+    }
 }
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/Hashes.java
@@ -0,0 +1,17 @@
+package org.wigeonferry.routing;
+
+/**
+ * Hashes that all entries compute alike.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class Hashes {
+    private Hashes() {}
+
+    /** Spreads a hash over all bits. */
+    static int spread(int hash) {
+        int mixed = (hash ^ (hash >>> 16)) * 0x7feb352d;
+        mixed = (mixed ^ (mixed >>> 15)) * 0x846ca68b;
+        return mixed ^ (mixed >>> 16);
+    }
+}
--- a/routing/src/main/java/org/wigeonferry/routing/Job.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Job.java
@@ -18,6 +18,7 @@
     private final long deadlineNanos;
     private final long revision;
     private final Set<Incarnation> tried = new HashSet<>();
+    private boolean doubted;
     private int runs;
     private int sends;
 
@@ -71,6 +72,17 @@
         return runs;
     }
 
+    /** Whether a small model's answer was dropped. */
+    boolean doubted() {
+        return doubted;
+    }
+
+    /** Notes a dropped answer; its upstream may run the request with another model. */
+    void onDoubt(Incarnation incarnation) {
+        doubted = true;
+        tried.remove(incarnation);
+    }
+
     boolean sentBefore() {
         return sends > 0;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/ModelChoice.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ModelChoice.java
@@ -1,18 +1,16 @@
 package org.wigeonferry.routing;
 
-import java.util.Optional;
-
 /**
- * Picks the model of a request.
+ * Picks the model of a send.
  *
  * <p>Implementations are called on the control thread.
  */
 @FunctionalInterface
 public interface ModelChoice {
     /**
-     * Picks a model; empty if the route leaves no choice.
+     * Picks a model.
      *
-     * @param pressure estimated work that waits at the upstreams, in seconds of one upstream
+     * @param mayRepeat whether an answer in doubt may be dropped for another model's
      */
-    Optional<String> choose(Job job, double pressure);
+    ModelStep choose(Job job, boolean mayRepeat);
 }
--- a/routing/src/main/java/org/wigeonferry/routing/Outcome.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Outcome.java
@@ -20,6 +20,8 @@
     BROKEN(false, true),
     /** No answer, or no further event, in time. */
     SILENT(false, true),
+    /** Dropped because the model doubts its answer. */
+    DOUBTED(false, false),
     /** Given up for a reason that isn't the upstream's. */
     ABANDONED(false, false);
 
--- a/routing/src/main/java/org/wigeonferry/routing/Placer.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Placer.java
@@ -48,8 +48,14 @@
         return Math.max(0, request.promptTokens() - held);
     }
 
+    /** The same in tokens of the dearest model, by the models' costs. */
+    private static int weighted(UpstreamState state, Job job, Optional<String> model) {
+        double weight = model.map(state::workShare).orElse(1.0);
+        return (int) Math.round(uncached(state, job, model) * weight);
+    }
+
     private double cost(UpstreamState state, Job job, Optional<String> model, long now) {
-        double work = uncached(state, job, model) - preference(state, job, model);
+        double work = weighted(state, job, model) - preference(state, job, model);
         work += state.unreadTokens();
         work += RUNNING_TOKENS * (state.running() + state.foreignWork(now));
         if (!state.description().zone().equals(zone)) {
@@ -67,17 +73,11 @@
         }
         PromptPart shared = parts.get(parts.size() - 2);
         int hash = (shared.id() + '@' + state.description().id()).hashCode();
-        double draw = (spread(hash) >>> 1) / (double) Integer.MAX_VALUE;
-        return draw * shared.tokens() / 2;
-    }
-
-    private static int spread(int hash) {
-        int mixed = (hash ^ (hash >>> 16)) * 0x7feb352d;
-        mixed = (mixed ^ (mixed >>> 15)) * 0x846ca68b;
-        return mixed ^ (mixed >>> 16);
+        double draw = (Hashes.spread(hash) >>> 1) / (double) Integer.MAX_VALUE;
+        return draw * shared.tokens() * model.map(state::workShare).orElse(1.0) / 2;
     }
 
-    static Send send(UpstreamState state, Job job, Optional<String> model, long now) {
+    static Send send(UpstreamState state, Job job, ModelStep step, long now) {
         OptionalInt rank =
                 job.account()
                         .map(Account::rank)
@@ -86,10 +86,11 @@
         return new Send(
                 state.description(),
                 job.account().map(Account::name),
-                model,
+                step.model(),
+                step.acceptFrom(),
                 rank,
                 Duration.ofNanos(job.deadlineNanos() - now),
-                uncached(state, job, model),
+                weighted(state, job, step.model()),
                 now);
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/RefusalCause.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RefusalCause.java
@@ -18,6 +18,8 @@
     MALFORMED(true),
     /** The body is longer than the limit. */
     BODY_TOO_LONG(true),
+    /** The process stops. */
+    STOPPING(true),
     /** The process is overloaded. */
     OVERLOADED(true),
     /** No upstream may take the request now. */
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidence.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidence.java
@@ -8,14 +8,16 @@
  * @param sends requests sent
  * @param good answers that speak for it
  * @param bad answers that speak against it
- * @param firstMicros sum of the times to the first event, over {@code good}
+ * @param timed answers whose time counts
+ * @param firstMicros sum of the times to the first event over the usual ones, in millionths, over
+ *     {@code timed}
  * @param gapMicros sum of mean gaps, over {@code gaps}
  * @param gaps answers with a mean gap
  */
 public record ReleaseEvidence(
-        long sends, long good, long bad, long firstMicros, long gapMicros, long gaps) {
+        long sends, long good, long bad, long timed, long firstMicros, long gapMicros, long gaps) {
     /** No answers. */
-    public static final ReleaseEvidence NONE = new ReleaseEvidence(0, 0, 0, 0, 0, 0);
+    public static final ReleaseEvidence NONE = new ReleaseEvidence(0, 0, 0, 0, 0, 0, 0);
 
     /** Adds counts. */
     public ReleaseEvidence plus(ReleaseEvidence other) {
@@ -23,6 +25,7 @@
                 sends + other.sends,
                 good + other.good,
                 bad + other.bad,
+                timed + other.timed,
                 firstMicros + other.firstMicros,
                 gapMicros + other.gapMicros,
                 gaps + other.gaps);
@@ -38,9 +41,9 @@
         return answers() == 0 ? 0 : (double) bad / answers();
     }
 
-    /** Mean time to the first event in microseconds. */
+    /** Mean time to the first event over the usual one, in millionths. */
     public double meanFirst() {
-        return good == 0 ? 0 : (double) firstMicros / good;
+        return timed == 0 ? 0 : (double) firstMicros / timed;
     }
 
     /** Mean gap between events in microseconds. */
--- a/routing/src/main/java/org/wigeonferry/routing/RetryBudget.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RetryBudget.java
@@ -9,6 +9,9 @@
  * <p>Owned by the control thread.
  */
 final class RetryBudget {
+    /** Part of the budget that is kept for failures. */
+    private static final double ROOMY = 0.8;
+
     private final RoutingLimits limits;
     private final SlidingCount firsts;
     private final SlidingCount repeats;
@@ -24,12 +27,20 @@
         firsts.add(now);
     }
 
+    /** Whether there is room for repeats that only better an answer. */
+    boolean roomy(long now, int entries) {
+        return repeats.count(now) < ROOMY * limit(now, entries);
+    }
+
     boolean tryRepeat(long now, int entries) {
-        double own = limits.retryExtra() / entries + limits.retryRatio() * firsts.count(now);
-        if (repeats.count(now) + 1 > own) {
+        if (repeats.count(now) + 1 > limit(now, entries)) {
             return false;
         }
         repeats.add(now);
         return true;
     }
+
+    private double limit(long now, int entries) {
+        return limits.retryExtra() / entries + limits.retryRatio() * firsts.count(now);
+    }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
@@ -23,12 +23,28 @@
 
     private static final double COMPLETE_LATE = 0.85;
 
+    /**
+     * Part of the allowed share that is drawn, so that the bound is met by count only now and then.
+     */
+    private static final double DRAWN_PART = 0.7;
+
     private static final double FIRST_HALF = 0.5;
 
     /** Sends to the new release that are allowed before its share is reached. */
-    private static final int FIRST_SENDS = 1;
+    private static final int FIRST_SENDS = 2;
+
+    /** Time to a first event with nothing to read, and for each token to be read. */
+    private static final double USUAL_FIRST_MICROS = 80_000;
+
+    private static final double USUAL_TOKEN_MICROS = 60;
+
+    private static final Duration WARM_UP = Duration.ofSeconds(5);
+
+    /** Cuts off what single answers add to a mean. */
+    private static final double MOST_SLOWNESS = 12;
 
     private final double exposureShare;
+    private final long sessionNanos;
     private final SessionPins pins;
     private final Map<String, RollOut> orders = new HashMap<>();
     private final Map<String, RollOutStatus> statuses = new HashMap<>();
@@ -37,6 +53,7 @@
 
     RollOutBoard(RoutingLimits limits) {
         exposureShare = limits.exposureShare();
+        sessionNanos = limits.sessionLife().toNanos() / 2;
         pins = new SessionPins(limits.sessionLife());
     }
 
@@ -122,51 +139,78 @@
         return sum;
     }
 
-    /** The rule that a job's upstream has to keep. */
-    UpstreamRule rule(Job job, long now) {
-        Optional<String> pinned =
-                job.session().flatMap(session -> pins.release(job.service(), session, now));
+    /**
+     * The rules for a job's upstream, best first; a later one holds if no upstream meets the first.
+     */
+    List<UpstreamRule> rules(Job job, long now) {
         RollOut order = orders.get(job.service());
         if (order == null) {
-            return (upstream, j, t) -> true;
+            return List.of((upstream, j, t) -> true);
         }
         String fresh = order.release();
         UpstreamRule onlyFresh = (upstream, j, t) -> upstream.description().release().equals(fresh);
         UpstreamRule onlyOld = (upstream, j, t) -> !upstream.description().release().equals(fresh);
         Optional<RollOutState> state = state(order);
         if (state.equals(Optional.of(RollOutState.COMPLETED))) {
-            return onlyFresh;
+            return List.of(onlyFresh, onlyOld);
         }
         if (state.equals(Optional.of(RollOutState.ROLLED_BACK)) || RollOutJudge.bad(total(order))) {
-            return onlyOld;
+            return List.of(onlyOld);
+        }
+        if (!mayGrow(order, now)) {
+            return List.of(onlyOld);
         }
-        boolean mayGrow = mayGrow(order, now);
-        if (pinned.isPresent()) {
-            boolean onFresh = pinned.get().equals(fresh);
-            return onFresh && mayGrow ? onlyFresh : onlyOld;
+        Optional<String> pinned =
+                job.session().flatMap(session -> pins.release(job.service(), session, now));
+        boolean onFresh = pinned.map(fresh::equals).orElseGet(() -> drawn(order, job, now));
+        if (onFresh) {
+            return List.of(onlyFresh, onlyOld);
         }
-        return mayGrow ? onlyFresh : onlyOld;
+        boolean mayMove = pinned.isEmpty() || part(order, now) > FIRST_HALF;
+        return mayMove ? List.of(onlyOld, onlyFresh) : List.of(onlyOld);
     }
 
     void onSend(Send send, Job job, long now) {
         String release = send.upstream().release();
         job.session().ifPresent(session -> pins.note(job.service(), session, release, now));
-        add(send, new ReleaseEvidence(1, 0, 0, 0, 0, 0));
+        add(send, new ReleaseEvidence(1, 0, 0, 0, 0, 0, 0));
     }
 
     void onEnd(SendReport report, Job job, long now) {
         String release = report.send().upstream().release();
         job.session().ifPresent(session -> pins.note(job.service(), session, release, now));
         if (report.outcome() == Outcome.ANSWERED) {
-            long first = report.firstAnswer().map(RollOutBoard::micros).orElse(0L);
-            long gap = report.meanGap().map(RollOutBoard::micros).orElse(0L);
-            int gaps = report.meanGap().isPresent() ? 1 : 0;
-            add(report.send(), new ReleaseEvidence(0, 1, 0, first, gap, gaps));
+            add(report.send(), answered(report));
         } else if (report.outcome().bad()) {
-            add(report.send(), new ReleaseEvidence(0, 0, 1, 0, 0, 0));
+            add(report.send(), new ReleaseEvidence(0, 0, 1, 0, 0, 0, 0));
         }
     }
 
+    /** New upstreams are slow at first, so times count only once an order has run for a while. */
+    private ReleaseEvidence answered(SendReport report) {
+        RollOut order = orders.get(report.send().upstream().service());
+        boolean warm =
+                order != null
+                        && report.send().startNanos() - order.startNanos() > WARM_UP.toNanos();
+        if (!warm || report.firstAnswer().isEmpty()) {
+            return new ReleaseEvidence(0, 1, 0, 0, 0, 0, 0);
+        }
+        long first = slowness(report.firstAnswer().get(), report.send());
+        long gap = report.meanGap().map(RollOutBoard::micros).orElse(0L);
+        int gaps = report.meanGap().isPresent() ? 1 : 0;
+        return new ReleaseEvidence(0, 1, 0, 1, first, gap, gaps);
+    }
+
+    /** All entries draw the same for a session, since a session may reach several of them. */
+    private boolean drawn(RollOut order, Job job, long now) {
+        if (now - order.startNanos() < sessionNanos) {
+            return false;
+        }
+        String name = job.session().orElse(job.request().id());
+        int hash = Hashes.spread((name + '#' + order.revision()).hashCode());
+        return (hash >>> 1) / (double) Integer.MAX_VALUE < DRAWN_PART * exposureShare;
+    }
+
     private boolean mayGrow(RollOut order, long now) {
         if (part(order, now) >= 1) {
             return false;
@@ -196,6 +240,12 @@
         return (double) (now - order.startNanos()) / order.duration().toNanos();
     }
 
+    /** A time to the first event over the usual one for the tokens to be read, in millionths. */
+    private static long slowness(Duration first, Send send) {
+        double usual = USUAL_FIRST_MICROS + USUAL_TOKEN_MICROS * send.uncachedTokens();
+        return (long) (1_000_000 * Math.min(MOST_SLOWNESS, micros(first) / usual));
+    }
+
     private static long micros(Duration duration) {
         return duration.toNanos() / 1000;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutJudge.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutJudge.java
@@ -10,10 +10,8 @@
     private static final int MIN_BAD = 4;
     private static final double BAD_SHARE = 0.15;
     private static final double BAD_FACTOR = 2.0;
-    private static final int MIN_TIMED = 6;
-    private static final double SLOW_FACTOR = 2.5;
-    private static final double SLOW_FIRST_MICROS = 300_000;
-    private static final double SLOW_GAP_MICROS = 40_000;
+    private static final int MIN_TIMED = 8;
+    private static final double SLOW_FACTOR = 2.8;
 
     private RollOutJudge() {}
 
@@ -38,14 +36,11 @@
     private static boolean slower(RollOutEvidence evidence) {
         ReleaseEvidence fresh = evidence.fresh();
         ReleaseEvidence old = evidence.old();
-        if (fresh.good() < MIN_TIMED || old.good() < MIN_TIMED) {
+        if (fresh.timed() < MIN_TIMED || old.timed() < MIN_TIMED) {
             return false;
         }
-        boolean first =
-                fresh.meanFirst() > SLOW_FACTOR * old.meanFirst()
-                        && fresh.meanFirst() > SLOW_FIRST_MICROS;
-        boolean gap =
-                fresh.meanGap() > SLOW_FACTOR * old.meanGap() && fresh.meanGap() > SLOW_GAP_MICROS;
-        return first || gap;
+        boolean first = fresh.meanFirst() > SLOW_FACTOR * old.meanFirst();
+        boolean gap = fresh.meanGap() > SLOW_FACTOR * old.meanGap();
+        return first && (gap || fresh.gaps() < MIN_TIMED);
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -139,10 +139,13 @@
         if (!mayRunAgain(job)) {
             return refusedAfter(job, RefusalCause.NOT_RUN);
         }
-        Optional<String> model = modelChoice.choose(job, pressure(job.service()));
+        ModelStep model = modelChoice.choose(job, budget(job.service()).roomy(now, entries));
         UpstreamRule rule = rule(job, now);
         Optional<UpstreamState> chosen =
-                placer.choose(job, model, rule.and(rollOuts.rule(job, now)), now);
+                rollOuts.rules(job, now).stream()
+                        .map(r -> placer.choose(job, model.model(), rule.and(r), now))
+                        .flatMap(Optional::stream)
+                        .findFirst();
         if (chosen.isEmpty()) {
             return refusedAfter(job, RefusalCause.NO_UPSTREAM);
         }
@@ -154,9 +157,11 @@
         return send;
     }
 
-    /** Notes that an upstream has read a prompt: its first event is there. */
-    public void onFirstAnswer(Send send) {
-        upstreams.state(send.upstream().incarnation()).ifPresent(state -> state.onRead(send));
+    /** Takes the head of an answer: the upstream has read the prompt. */
+    public void onHead(Send send, Optional<UpstreamLoad> load, long now) {
+        upstreams
+                .state(send.upstream().incarnation())
+                .ifPresent(state -> state.onHead(send, load, now));
     }
 
     /** Takes the end of a send; true if its content is refused from now on. */
@@ -166,14 +171,17 @@
                 .state(send.upstream().incarnation())
                 .ifPresent(
                         state -> {
-                            if (report.firstAnswer().isEmpty()) {
-                                state.onRead(send);
+                            if (!report.headSeen()) {
+                                state.onHead(send, Optional.empty(), now);
                             }
                             state.onEnd(report, now);
                         });
         if (report.outcome().provedNotRun()) {
             job.onProvedNotRun();
         }
+        if (report.outcome() == Outcome.DOUBTED) {
+            job.onDoubt(send.upstream().incarnation());
+        }
         if (report.outcome() == Outcome.MISDIRECTED) {
             upstreams.remove(send.upstream().id(), now);
         }
@@ -236,14 +244,6 @@
         return state.sentLastSecond(now) + 1 <= Math.max(1, Math.floor(all / entries));
     }
 
-    private double pressure(String service) {
-        return upstreams.states().stream()
-                .filter(state -> state.description().service().equals(service))
-                .mapToLong(UpstreamState::unreadTokens)
-                .average()
-                .orElse(0);
-    }
-
     private void started(Send send, UpstreamState state, Job job, long now) {
         if (!job.sentBefore()) {
             budget(job.service()).onFirst(now);
--- a/routing/src/main/java/org/wigeonferry/routing/Send.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Send.java
@@ -10,6 +10,7 @@
  * <p>Immutable and thread safe.
  *
  * @param model model that is named to the upstream
+ * @param acceptFrom least confidence with which the answer is delivered; 0 takes any
  * @param rank urgency that is named to the upstream
  * @param left time that the caller and the route leave
  * @param uncachedTokens prompt tokens that the upstream probably has to read
@@ -19,6 +20,7 @@
         Upstream upstream,
         Optional<String> account,
         Optional<String> model,
+        int acceptFrom,
         OptionalInt rank,
         Duration left,
         int uncachedTokens,
--- a/routing/src/main/java/org/wigeonferry/routing/SendReport.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SendReport.java
@@ -8,13 +8,13 @@
  *
  * <p>Immutable and thread safe.
  *
+ * @param headSeen whether the head of an answer came
  * @param firstAnswer time from the send to the first event or the whole answer
  * @param meanGap mean pause between events
- * @param load the upstream's own count of its work, from its answer
  */
 public record SendReport(
         Send send,
         Outcome outcome,
+        boolean headSeen,
         Optional<Duration> firstAnswer,
-        Optional<Duration> meanGap,
-        Optional<UpstreamLoad> load) {}
+        Optional<Duration> meanGap) {}
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -21,6 +21,7 @@
 
     private Upstream description;
     private long coldUntilNanos;
+    private final Optional<EngineTraits> engine;
     private final PromptMemory memory;
     private final SlidingCount recent = new SlidingCount(COLD_SPAN);
     private int running;
@@ -33,6 +34,7 @@
 
     UpstreamState(Upstream description, Optional<EngineTraits> engine, long now) {
         this.description = description;
+        this.engine = engine;
         memory =
                 new PromptMemory(
                         engine.map(EngineTraits::capacityTokens).orElse(DEFAULT_CAPACITY_TOKENS)
@@ -64,6 +66,11 @@
         return recent.count(now);
     }
 
+    /** Work that a token is for a model, as a share of the dearest model's. */
+    double workShare(String model) {
+        return engine.map(traits -> traits.workShare(model)).orElse(1.0);
+    }
+
     boolean suspended(long now) {
         return suspendedUntilNanos - now > 0;
     }
@@ -99,13 +106,13 @@
         send.model().ifPresent(model -> memory.read(model, request.parts()));
     }
 
-    void onRead(Send send) {
+    void onHead(Send send, Optional<UpstreamLoad> counted, long now) {
         unreadTokens -= send.uncachedTokens();
+        counted.ifPresent(value -> noteLoad(value, now));
     }
 
     void onEnd(SendReport report, long now) {
         running--;
-        report.load().ifPresent(value -> noteLoad(value, now));
         Outcome outcome = report.outcome();
         if (outcome == Outcome.ANSWERED) {
             breaks = 0;
