Tell a reset from an end on connections to upstreams; test the router over sockets

Change: an end point of our own whose read fails on a reset, for all HTTP/1.1 clients. Ruled out: refusing answers without a length; the servers send good ones.

--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http2.client.HTTP2Client;
 import org.eclipse.jetty.http2.client.transport.HttpClientTransportOverHTTP2;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -23,7 +24,10 @@
 
     /** Starts a client of HTTP/1.1 for callers, upstreams and the platform. */
     public static HttpClient http1(String name, Duration connectTimeout) throws StepException {
-        return start(new HttpClient(), name, connectTimeout);
+        return start(
+                new HttpClient(new HttpClientTransportOverHTTP(new ResetConnector())),
+                name,
+                connectTimeout);
     }
 
     /** Starts a client of HTTP/2 for this system's own processes. */
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetConnector.java
@@ -0,0 +1,21 @@
+package org.wigeonferry.node_runtime;
+
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+
+/**
+ * Opens connections that tell a reset from an end.
+ *
+ * <p>Thread safe once started.
+ */
+final class ResetConnector extends ClientConnector {
+    @Override
+    protected EndPoint newEndPoint(
+            SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        return new ResetEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+}
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetEndPoint.java
@@ -0,0 +1,45 @@
+package org.wigeonferry.node_runtime;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A connection on which a reset is a failure.
+ *
+ * <p>Jetty reads a reset as the end of the stream, so that an answer that ends with its connection
+ * would look whole. Thread safe.
+ */
+final class ResetEndPoint extends SocketChannelEndPoint {
+    ResetEndPoint(
+            SocketChannel channel,
+            ManagedSelector selector,
+            SelectionKey key,
+            Scheduler scheduler) {
+        super(channel, selector, key, scheduler);
+    }
+
+    @Override
+    public int fill(ByteBuffer buffer) throws IOException {
+        if (isInputShutdown()) {
+            return -1;
+        }
+        int position = BufferUtil.flipToFill(buffer);
+        try {
+            int filled = ((SocketChannel) getChannel()).read(buffer);
+            if (filled > 0) {
+                notIdle();
+            } else if (filled < 0) {
+                shutdownInput();
+            }
+            return filled;
+        } finally {
+            BufferUtil.flipToFlush(buffer, position);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/wigeonferry/router/EventScannerTest.java
@@ -0,0 +1,66 @@
+package org.wigeonferry.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class EventScannerTest {
+    private static final String STREAM =
+            "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid:4\ndata: d\n\n";
+
+    private final EventScanner scanner = new EventScanner();
+
+    @Test
+    void partOfAnEventWaits() {
+        assertThat(taken("id: 1\ndata: a\n\nid: 2\ndata")).isEqualTo("id: 1\ndata: a\n\n");
+        assertThat(scanner.lastId()).contains("1");
+        assertThat(scanner.partial()).isTrue();
+        assertThat(taken(": b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+        assertThat(scanner.lastId()).contains("2");
+        assertThat(scanner.partial()).isFalse();
+    }
+
+    @Test
+    void eventWithoutIdKeepsTheLastOne() {
+        taken(STREAM.substring(0, STREAM.indexOf("id:4")));
+        assertThat(scanner.lastId()).contains("2");
+        assertThat(scanner.events()).isEqualTo(3);
+    }
+
+    @Test
+    void cutsDoNotMatter() {
+        for (long seed = 0; seed < 200; seed++) {
+            Random random = new Random(seed);
+            EventScanner cut = new EventScanner();
+            StringBuilder out = new StringBuilder();
+            int at = 0;
+            while (at < STREAM.length()) {
+                int next = Math.min(STREAM.length(), at + 1 + random.nextInt(9));
+                out.append(text(cut.take(bytes(STREAM.substring(at, next)))));
+                assertThat(out.toString())
+                        .satisfiesAnyOf(
+                                s -> assertThat(s).isEmpty(),
+                                s -> assertThat(s).matches("(?s).*\\r?\\n\\r?\\n"));
+                at = next;
+            }
+            assertThat(out.toString()).isEqualTo(STREAM);
+            assertThat(cut.lastId()).contains("4");
+            assertThat(cut.events()).isEqualTo(4);
+        }
+    }
+
+    private String taken(String text) {
+        return text(scanner.take(bytes(text)));
+    }
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String text(ByteBuffer bytes) {
+        return StandardCharsets.UTF_8.decode(bytes).toString();
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -0,0 +1,187 @@
+package org.wigeonferry.router;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.node_runtime.ControlThread;
+import org.wigeonferry.node_runtime.NodeMetrics;
+import org.wigeonferry.routing.Freshness;
+import org.wigeonferry.routing.Incarnation;
+import org.wigeonferry.routing.ModelCascade;
+import org.wigeonferry.routing.RequestKind;
+import org.wigeonferry.routing.Route;
+import org.wigeonferry.routing.RoutingConfig;
+import org.wigeonferry.routing.RoutingLimits;
+import org.wigeonferry.routing.RoutingState;
+import org.wigeonferry.routing.ServiceTraits;
+import org.wigeonferry.routing.Upstream;
+import org.wigeonferry.routing.WeightedService;
+import org.wigeonferry.stand_ins.ScriptedUpstream;
+
+/** A router over real sockets, with upstreams of the test's. */
+final class RouterHarness implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+
+    private final ControlThread control = new ControlThread("control");
+    private final JettySender sender;
+    private final RouterServer server;
+    private final int port;
+
+    RouterHarness(List<ScriptedUpstream> upstreams) throws Exception {
+        sender = new JettySender(Duration.ofMillis(500));
+        RoutingState state =
+                new RoutingState(
+                        "zone",
+                        new RoutingLimits(
+                                1,
+                                50,
+                                Duration.ofSeconds(10),
+                                1,
+                                0,
+                                0.1,
+                                Duration.ofSeconds(5),
+                                Duration.ofSeconds(2)),
+                        new Freshness(Duration.ofMinutes(5), Duration.ofSeconds(5)),
+                        new ModelCascade(0),
+                        () -> 0.5,
+                        1);
+        RouterControl router =
+                new RouterControl(control, state, note -> {}, (order, next, known) -> {});
+        port = freePort();
+        server =
+                new RouterServer(
+                        new RouterAddresses(
+                                new HostAddress(LOOPBACK, port),
+                                new HostAddress(LOOPBACK, freePort())),
+                        control,
+                        router,
+                        sender,
+                        TestProtocol.protocol(),
+                        new NodeMetrics());
+        control.ask(
+                        () -> {
+                            router.confirmed(System.nanoTime(), System.currentTimeMillis());
+                            router.configured(config());
+                            for (int i = 0; i < upstreams.size(); i++) {
+                                router.upstream(upstream(i, upstreams.get(i).port()));
+                            }
+                            return true;
+                        })
+                .get();
+    }
+
+    RouterServer server() {
+        return server;
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(8000);
+        return socket;
+    }
+
+    static void ask(Socket socket, String method, String path, String body) throws IOException {
+        String head =
+                method
+                        + " "
+                        + path
+                        + " HTTP/1.1\r\nHost: example\r\nId: id-1\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n";
+        OutputStream out = socket.getOutputStream();
+        out.write((head + body).getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    /** Sends one request and reads until the router closes or is silent for a moment. */
+    String exchange(String method, String path, String body) throws IOException {
+        try (Socket socket = connect()) {
+            ask(socket, method, path, body);
+            return readAnswer(socket);
+        }
+    }
+
+    /** Reads an answer; ends at its declared end, or at the end of the connection. */
+    static String readAnswer(Socket socket) throws IOException {
+        StringBuilder text = new StringBuilder();
+        int next = socket.getInputStream().read();
+        while (next >= 0) {
+            text.append((char) next);
+            if (whole(text.toString())) {
+                return text.toString();
+            }
+            next = socket.getInputStream().read();
+        }
+        return text.append("<closed>").toString();
+    }
+
+    private static boolean whole(String text) {
+        int head = text.indexOf("\r\n\r\n");
+        if (head < 0) {
+            return false;
+        }
+        if (text.contains("Transfer-Encoding: chunked")) {
+            return text.endsWith("\r\n0\r\n\r\n");
+        }
+        int length = text.indexOf("Content-Length: ");
+        int end = text.indexOf("\r\n", length);
+        int count = Integer.parseInt(text.substring(length + "Content-Length: ".length(), end));
+        return text.length() == head + 4 + count;
+    }
+
+    private static RoutingConfig config() {
+        return RoutingConfig.builder(1)
+                .service(new ServiceTraits("service", 10, Duration.ZERO, 0, Optional.empty()))
+                .route(route("safe", RequestKind.SAFE))
+                .route(route("unsafe", RequestKind.UNSAFE))
+                .route(route("stream", RequestKind.RESUMABLE_STREAM))
+                .build();
+    }
+
+    private static Route route(String name, RequestKind kind) {
+        return new Route(
+                name,
+                "example",
+                "/" + name + "/",
+                kind,
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(1),
+                3,
+                0,
+                true,
+                List.of(),
+                List.of(new WeightedService("service", 1)));
+    }
+
+    private static Upstream upstream(int number, int port) {
+        return new Upstream(
+                new Incarnation("u" + number, 1),
+                new HostAddress(LOOPBACK, port),
+                "service",
+                number == 0 ? "zone" : "other",
+                "v1",
+                8,
+                false,
+                Duration.ZERO);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.stop();
+        sender.close();
+        control.close();
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/wigeonferry/router/TestProtocol.java
@@ -0,0 +1,69 @@
+package org.wigeonferry.router;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.server.Request;
+import org.wigeonferry.routing.RoutedRequest;
+
+/** A wire protocol for tests: the headers Id, Stamp, Not-Run and Last-Event-Id. */
+final class TestProtocol {
+    private static final Set<String> OWN =
+            Set.of("connection", "content-length", "transfer-encoding");
+
+    private TestProtocol() {}
+
+    static FrontProtocol protocol() {
+        return new FrontProtocol(
+                TestProtocol::decode,
+                (caller, send, left, resume) -> {
+                    HttpFields.Mutable fields = HttpFields.build(without(caller));
+                    resume.ifPresent(id -> fields.put("Last-Event-Id", id));
+                    return fields;
+                },
+                (status, fields) ->
+                        new AnswerHead(
+                                status,
+                                Optional.ofNullable(fields.get("Id")),
+                                fields.contains("Stamp"),
+                                fields.contains("Not-Run"),
+                                status == 421,
+                                fields.contains("Content-Encoding"),
+                                Optional.empty(),
+                                Optional.empty(),
+                                without(fields)));
+    }
+
+    private static HttpFields without(HttpFields fields) {
+        HttpFields.Mutable kept = HttpFields.build();
+        for (HttpField field : fields) {
+            if (!OWN.contains(field.getName().toLowerCase(Locale.ROOT))) {
+                kept.add(field);
+            }
+        }
+        return kept;
+    }
+
+    private static Optional<RoutedRequest> decode(Request request) {
+        return Optional.ofNullable(request.getHeaders().get("Id"))
+                .map(
+                        id ->
+                                new RoutedRequest(
+                                        id,
+                                        "example",
+                                        request.getHttpURI().getPath(),
+                                        Optional.empty(),
+                                        Optional.of(Duration.ofSeconds(3)),
+                                        Optional.empty(),
+                                        Optional.empty(),
+                                        List.of(),
+                                        0,
+                                        0,
+                                        Optional.ofNullable(
+                                                request.getHeaders().get("Last-Event-Id"))));
+    }
+}
