--- a/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
@@ -30,6 +30,11 @@
                         "--config FILE",
                         "Runs a router on the platform.",
                         DaemonCommands.router()),
+                new CommandEntry(
+                        "warm-up",
+                        "",
+                        "Loads what a router needs and ends; for the build.",
+                        WarmUpCommand.run()),
                 new CommandEntry(
                         "stand-in",
                         "engine|desk|table --config FILE",
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetConnector.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetConnector.java
@@ -6,9 +6,12 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 
 /**
- * Opens connections that tell a reset from an end.
+ * Opens plain connections that tell a reset from an end.
+ *
+ * <p>Loads nothing of TLS, which would be the dearest part of a start.
  *
  * <p>Thread safe once started.
  */
@@ -18,4 +21,9 @@
             SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
         return new ResetEndPoint((SocketChannel) channel, selector, key, getScheduler());
     }
+
+    @Override
+    protected SslContextFactory.Client newSslContextFactory() {
+        return new NoTls();
+    }
 }
--- a/router/src/main/java/org/wigeonferry/router/CallerRequest.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerRequest.java
@@ -1,7 +1,7 @@
 package org.wigeonferry.router;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.zip.CRC32C;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 
@@ -18,7 +18,7 @@
     CallerRequest(Request request, byte[] body, String account) {
         this.request = request;
         this.body = body;
-        content = account + ' ' + target() + ' ' + digest(body);
+        content = digest(account, target(), body);
     }
 
     String method() {
@@ -38,7 +38,7 @@
         return body;
     }
 
-    /** Equal for requests of one caller with the same target and body. */
+    /** A digest: equal for requests of one account with the same target and body. */
     String content() {
         return content;
     }
@@ -56,8 +56,12 @@
         return (DepartureEndPoint) request.getConnectionMetaData().getConnection().getEndPoint();
     }
 
-    private static String digest(byte[] body) {
-        String text = new String(body, StandardCharsets.ISO_8859_1);
-        return Integer.toHexString(Arrays.hashCode(body)) + Integer.toHexString(text.hashCode());
+    private static String digest(String account, String target, byte[] body) {
+        CRC32C sum = new CRC32C();
+        sum.update(body);
+        int head = (account + ' ' + target).hashCode();
+        return Long.toHexString(sum.getValue())
+                + Integer.toHexString(Arrays.hashCode(body))
+                + Integer.toHexString(head);
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
 import org.wigeonferry.routing.Outcome;
+import org.wigeonferry.routing.Route;
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendReport;
 
@@ -19,6 +20,15 @@
 final class RoutedSend implements SendListener {
     private static final int MAX_ANSWER_BYTES = 16 << 20;
 
+    /**
+     * Parts of the latency objective for which a first answer is awaited before another is asked.
+     */
+    private static final double PLAIN_PATIENCE = 0.8;
+
+    private static final double STREAM_PATIENCE = 0.55;
+    private static final Duration GAP_PATIENCE = Duration.ofMillis(1300);
+    private static final Duration SECOND_LOOK = Duration.ofMillis(300);
+
     private final CallContext context;
     private final RoutedCall call;
     private final Send send;
@@ -39,6 +49,7 @@
 
     void start(SendOrder order) {
         connection = context.sender().send(order, this);
+        context.control().run(this::watchSilence);
         if (over.get()) {
             connection.run();
         }
@@ -129,6 +140,37 @@
         return failure;
     }
 
+    /**
+     * Moves the call to another upstream if this one is silent for too long and another may help.
+     */
+    private void watchSilence() {
+        if (over.get() || !call.job().route().kind().repeatable()) {
+            return;
+        }
+        long now = context.control().nanoTime();
+        long last = firstNanos == 0 ? send.startNanos() : lastNanos;
+        long left = patience().toNanos() - (now - last);
+        if (left > 0) {
+            context.control().after(Duration.ofNanos(left), this::watchSilence);
+        } else if (context.state().mayMove(call.job(), now)) {
+            context.traffic().execute(() -> cancel(Outcome.SILENT));
+        } else {
+            context.control().after(SECOND_LOOK, this::watchSilence);
+        }
+    }
+
+    private Duration patience() {
+        Route route = call.job().route();
+        if (!route.kind().streamed()) {
+            return scaled(route.objective(), PLAIN_PATIENCE);
+        }
+        return firstNanos == 0 ? scaled(route.objective(), STREAM_PATIENCE) : GAP_PATIENCE;
+    }
+
+    private static Duration scaled(Duration time, double factor) {
+        return Duration.ofNanos((long) (time.toNanos() * factor));
+    }
+
     private boolean streams(AnswerHead known) {
         return call.job().route().kind().streamed() && known.success();
     }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.router;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,6 +34,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("control");
 
+    private final String name;
     private final Control control;
     private final RoutingState state;
     private final NotePublisher notes;
@@ -42,10 +44,16 @@
     private boolean upstreamsKnown;
     private long beat;
     private int looks;
+    private Map<String, Integer> told = Map.of();
 
-    /** Connects the state with those who publish for it. */
+    /** Connects the state of the entry of this name with those who publish for it. */
     public RouterControl(
-            Control control, RoutingState state, NotePublisher notes, RollOutReporter rollOuts) {
+            String name,
+            Control control,
+            RoutingState state,
+            NotePublisher notes,
+            RollOutReporter rollOuts) {
+        this.name = name;
         this.control = control;
         this.state = state;
         this.notes = notes;
@@ -153,7 +161,11 @@
     /** Takes another entry's note. */
     public void note(String entry, EntryNote note) {
         membership.seen(entry, control.nanoTime());
+        if (entry.equals(name)) {
+            return;
+        }
         state.rollOuts().evidence(entry, note.evidence());
+        state.poison().suspects(entry, note.suspects(), control.nanoTime());
     }
 
     /** Notes that all entries' notes were read once. */
@@ -179,9 +191,12 @@
             state.rollOuts().next(order, now).ifPresent(next -> report(order, next));
         }
         looks++;
-        if (looks % (busy ? BUSY_LOOKS : CALM_LOOKS) == 0) {
+        Map<String, Integer> suspects = state.poison().suspects();
+        boolean alarm = !suspects.equals(told) && suspects.values().stream().anyMatch(c -> c > 1);
+        if (alarm || looks % (busy ? BUSY_LOOKS : CALM_LOOKS) == 0) {
+            told = suspects;
             beat++;
-            notes.publish(new EntryNote(beat, state.rollOuts().evidence()));
+            notes.publish(new EntryNote(beat, state.rollOuts().evidence(), suspects));
         }
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -1,37 +1,103 @@
 package org.wigeonferry.routing;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
- * Counts how often requests of one content broke the upstream that ran them.
+ * Counts how often requests of one content broke the upstream that ran them, without an answer
+ * between, here and at the other entries.
  *
- * <p>Invariant: at most {@link #MAX} contents, the oldest leave first. Owned by the control thread.
+ * <p>A refused content may be tried once more after a while, and after twice that while once more,
+ * since a connection can break for other reasons. Invariant: at most {@link #MAX} contents, the
+ * oldest leave first. Owned by the control thread.
  */
-final class PoisonRegister {
+public final class PoisonRegister {
     /** Most contents that are remembered. */
-    static final int MAX = 4096;
+    static final int MAX = 1024;
 
-    /** Breaks after which a content is refused. */
+    /** Breaks in a row after which a content is refused. */
     static final int BREAKS = 3;
 
-    private static final Duration LIFE = Duration.ofMinutes(2);
+    /** Most contents that the other entries are told of. */
+    private static final int MAX_TOLD = 24;
 
-    private final Map<String, SlidingCount> breaks = new LinkedHashMap<>();
+    private static final Duration FIRST_REFUSAL = Duration.ofSeconds(20);
+    private static final int MAX_DOUBLINGS = 3;
+
+    private final Map<String, BreakCount> own = new LinkedHashMap<>();
+    private final Map<String, Map<String, Integer>> foreign = new HashMap<>();
+    private final Map<String, Long> told = new HashMap<>();
 
     boolean refused(String content, long now) {
-        SlidingCount count = breaks.get(content);
-        return count != null && count.count(now) >= BREAKS;
+        int count = total(content);
+        if (count < BREAKS) {
+            return false;
+        }
+        long pause = FIRST_REFUSAL.toNanos() << Math.min(count - BREAKS, MAX_DOUBLINGS);
+        return now - lastNanos(content, now) < pause;
     }
 
-    /** Notes a break; true if it is the one from which on the content is refused. */
+    /** Notes a break; true if the content is refused from now on. */
     boolean onBreak(String content, long now) {
-        SlidingCount count = breaks.computeIfAbsent(content, key -> new SlidingCount(LIFE));
-        count.add(now);
-        if (breaks.size() > MAX) {
-            breaks.remove(breaks.keySet().iterator().next());
+        BreakCount before = own.remove(content);
+        own.put(content, new BreakCount(before == null ? 1 : before.count() + 1, now));
+        if (own.size() > MAX) {
+            own.remove(own.keySet().iterator().next());
+        }
+        return total(content) >= BREAKS;
+    }
+
+    /** Notes an answer: the content is no poison. */
+    void onAnswer(String content) {
+        own.remove(content);
+    }
+
+    /** The newest contents that broke upstreams here, with their counts. */
+    public Map<String, Integer> suspects() {
+        Map<String, Integer> newest = new HashMap<>();
+        int skip = Math.max(0, own.size() - MAX_TOLD);
+        own.entrySet().stream()
+                .skip(skip)
+                .forEach(entry -> newest.put(entry.getKey(), entry.getValue().count()));
+        return newest;
+    }
+
+    /** Takes what another entry counts. */
+    public void suspects(String entry, Map<String, Integer> counts, long now) {
+        Map<String, Integer> before = foreign.getOrDefault(entry, Map.of());
+        counts.forEach(
+                (content, count) -> {
+                    if (count > before.getOrDefault(content, 0)) {
+                        told.put(content, now);
+                    }
+                });
+        foreign.put(entry, Map.copyOf(counts));
+        if (told.size() > MAX) {
+            told.clear();
+        }
+    }
+
+    private int total(String content) {
+        BreakCount here = own.get(content);
+        int count = here == null ? 0 : here.count();
+        for (Map<String, Integer> counts : foreign.values()) {
+            count += counts.getOrDefault(content, 0);
+        }
+        return count;
+    }
+
+    private long lastNanos(String content, long now) {
+        long age = Long.MAX_VALUE;
+        BreakCount here = own.get(content);
+        if (here != null) {
+            age = now - here.lastNanos();
+        }
+        Long there = told.get(content);
+        if (there != null) {
+            age = Math.min(age, now - there);
         }
-        return count.count(now) == BREAKS;
+        return now - age;
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -69,6 +69,11 @@
         return rollOuts;
     }
 
+    /** The contents that break upstreams. */
+    public PoisonRegister poison() {
+        return poison;
+    }
+
     /** The configuration, once known. */
     public Optional<RoutingConfig> config() {
         return config;
@@ -157,6 +162,17 @@
         return send;
     }
 
+    /** Whether a job whose upstream is silent may be sent to another one. */
+    public boolean mayMove(Job job, long now) {
+        if (!job.route().kind().repeatable() || job.runs() >= job.route().maxRuns()) {
+            return false;
+        }
+        UpstreamRule elsewhere = rule(job, now);
+        return budget(job.service()).roomy(now, entries)
+                && upstreams.states().stream()
+                        .anyMatch(s -> !s.suspended(now) && elsewhere.allows(s, job, now));
+    }
+
     /** Takes the head of an answer: the upstream has read the prompt. */
     public void onHead(Send send, Optional<UpstreamLoad> load, long now) {
         upstreams
@@ -186,7 +202,12 @@
             upstreams.remove(send.upstream().id(), now);
         }
         rollOuts.onEnd(report, job, now);
-        return report.outcome() == Outcome.BROKEN && poison.onBreak(content, now);
+        if (report.headSeen() && report.outcome() != Outcome.BROKEN) {
+            poison.onAnswer(content);
+        }
+        return report.outcome() == Outcome.BROKEN
+                && !report.headSeen()
+                && poison.onBreak(content, now);
     }
 
     private boolean stillAllowed(Job job, long now, long wallMillis) {
--- a/routing/src/test/java/org/wigeonferry/routing/RoutingFixtures.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoutingFixtures.java
@@ -132,4 +132,8 @@
                 Optional.of(Duration.ofMillis(100)),
                 Optional.of(Duration.ofMillis(20)));
     }
+
+    static SendReport noAnswer(Send send, Outcome outcome) {
+        return new SendReport(send, outcome, false, Optional.empty(), Optional.empty());
+    }
 }
