Move a silent request only if its send looks lost; flat log lines, metrics address, hang-up

Cause: requests were moved after a part of their objective however long the upstream's queue was, so under load they were read twice; a hang-up signal would have ended the process. Change: a send without an answer is moved if nobody behind it was answered for longer than the queue explains, or if four later ones were; a stream in mid-way after 1.8 s. Logs are one flat JSON object a line from a bounded queue that counts what it drops; metrics on an address of their own; SIGHUP reads and checks the settings.

--- a/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
@@ -46,12 +46,12 @@
         return List.of(
                 new CommandEntry(
                         "config check",
-                        "entry|agent|stand-in FILE",
+                        "entry|agent|router|stand-in FILE",
                         "Checks a settings file.",
                         ConfigCommands.check()),
                 new CommandEntry(
                         "config keys",
-                        "entry|agent|stand-in",
+                        "entry|agent|router|stand-in",
                         "Lists the keys of a settings file.",
                         ConfigCommands.keys()),
                 new CommandEntry(
--- a/command_line/src/main/java/org/wigeonferry/command_line/DaemonCommands.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/DaemonCommands.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.LongSupplier;
 import org.apache.commons.cli.CommandLine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.wigeonferry.agent.Agent;
 import org.wigeonferry.agent.AgentKeys;
 import org.wigeonferry.core_types.StepException;
@@ -23,6 +26,7 @@
 import org.wigeonferry.stand_ins.EngineStandIn;
 import org.wigeonferry.stand_ins.StandInKeys;
 import org.wigeonferry.stand_ins.TableStandIn;
+import sun.misc.Signal;
 
 /**
  * Commands that run a daemon until the process is told to stop.
@@ -33,6 +37,7 @@
     /** What a daemon prints once it serves. */
     static final String READY = "ready";
 
+    private static final Logger LOG = LoggerFactory.getLogger("process");
     private static final String[] WITH_VALUE = {"config"};
     private static final Duration STAND_IN_DEADLINE = Duration.ofSeconds(1);
 
@@ -56,9 +61,13 @@
 
     static Command router() {
         return arguments -> {
-            LoggingSetup.structured();
+            LongSupplier dropped = LoggingSetup.structured();
             Settings settings = settings("router", arguments, PlatformKeys.all());
-            return run(PlatformRouter::new, settings, PlatformRouter.stopDeadline(settings));
+            onHangUp(arguments);
+            return run(
+                    checked -> new PlatformRouter(checked, dropped),
+                    settings,
+                    PlatformRouter.stopDeadline(settings));
         };
     }
 
@@ -80,6 +89,25 @@
         };
     }
 
+    /**
+     * A hang-up means that the settings file changed; without a handler it would end the process.
+     */
+    private static void onHangUp(String[] arguments) {
+        Signal.handle(new Signal("HUP"), signal -> readAgain(arguments));
+    }
+
+    private static void readAgain(String[] arguments) {
+        try {
+            settings("router", arguments, PlatformKeys.all());
+            LOG.info("settings read again and valid; they are in force from the next start on");
+        } catch (StepException e) {
+            LOG.atError()
+                    .addKeyValue("cause", String.valueOf(e.getMessage()))
+                    .log(
+                            "settings read again are not valid; the process goes on with the old ones");
+        }
+    }
+
     private static Settings settings(String command, String[] arguments, List<SettingKey<?>> keys)
             throws StepException {
         CommandLine line = Arguments.parse(command, arguments, WITH_VALUE);
--- a/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.wigeonferry.core_types.StepException;
 import org.wigeonferry.node_runtime.LoggingSetup;
 import org.wigeonferry.platform.PlatformKeys;
@@ -31,10 +32,10 @@
 
     static Command run() {
         return arguments -> {
-            LoggingSetup.structured();
+            LongSupplier dropped = LoggingSetup.structured();
             int callers = freePort();
             Settings settings = SettingsReader.parse("warm-up", text(callers), PlatformKeys.all());
-            PlatformRouter router = new PlatformRouter(settings);
+            PlatformRouter router = new PlatformRouter(settings, dropped);
             ask(callers);
             new CompletableFuture<Void>()
                     .completeOnTimeout(null, RUN.toMillis(), TimeUnit.MILLISECONDS)
@@ -47,9 +48,9 @@
     private static String text(int callers) throws StepException {
         return String.format(
                 "[node]%nname=warm-up%navailability-zone=none%n"
-                        + "[listen]%ncallers=127.0.0.1:%d%nready=127.0.0.1:%d%n"
+                        + "[listen]%ncallers=127.0.0.1:%d%nready=127.0.0.1:%d%nmetrics=127.0.0.1:%d%n"
                         + "[store]%naddress=127.0.0.1:%d%n",
-                callers, freePort(), freePort());
+                callers, freePort(), freePort(), freePort());
     }
 
     private static void ask(int port) throws StepException {
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpServers.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpServers.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.node_runtime;
 
 import java.time.Duration;
+import java.util.List;
 import org.eclipse.jetty.http2.RateControl;
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
 import org.eclipse.jetty.server.Handler;
@@ -34,17 +35,23 @@
     /** Starts a server of HTTP/1.1 and, without TLS, of HTTP/2. */
     public static Server start(String name, HostAddress address, Handler handler)
             throws StepException {
+        return start(name, List.of(address), handler);
+    }
+
+    /** Starts a server at several addresses. */
+    public static Server start(String name, List<HostAddress> addresses, Handler handler)
+            throws StepException {
         QueuedThreadPool threads = new QueuedThreadPool(Threads.MAX, Threads.MIN);
         threads.setName(name);
         threads.setDaemon(true);
         Server server = new Server(threads);
-        server.addConnector(connector(server, address));
+        addresses.forEach(address -> server.addConnector(connector(server, address)));
         server.setHandler(new GracefulHandler(handler));
         server.setStopTimeout(STOP_TIMEOUT.toMillis());
         try {
             server.start();
         } catch (Exception e) {
-            throw new StepException("start HTTP server " + name, address.toString(), e);
+            throw new StepException("start HTTP server " + name, addresses.toString(), e);
         }
         return server;
     }
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/MetricsEndpoints.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/MetricsEndpoints.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.node_runtime;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
@@ -43,6 +44,7 @@
         StringBuilder text = new StringBuilder();
         registry.getCounters().forEach((name, counter) -> add(text, name, counter));
         registry.getHistograms().forEach((name, histogram) -> add(text, name, histogram));
+        registry.getGauges().forEach((name, gauge) -> add(text, name, gauge));
         return text.toString();
     }
 
@@ -61,6 +63,11 @@
         text.append(counter.getCount()).append('\n');
     }
 
+    private static void add(StringBuilder text, String name, Gauge<?> gauge) {
+        text.append(metric(name)).append(labels(name, "")).append(' ');
+        text.append(gauge.getValue()).append('\n');
+    }
+
     private static void add(StringBuilder text, String name, Histogram histogram) {
         Snapshot snapshot = histogram.getSnapshot();
         for (double quantile : QUANTILES) {
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/NodeMetrics.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/NodeMetrics.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramReservoir;
 
 /**
@@ -50,6 +51,11 @@
         registry.histogram(full, () -> new Histogram(new HdrHistogramReservoir())).update(value);
     }
 
+    /** Shows a value that is read when it is asked for. */
+    public void gauge(String name, LongSupplier value) {
+        registry.gauge(name, () -> value::getAsLong);
+    }
+
     private Counter counter(String name, String kind, String label) {
         return registry.counter(name + SEPARATOR + kind + SEPARATOR + bounded(kind, label));
     }
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -23,10 +23,10 @@
     /**
      * Parts of the latency objective for which a first answer is awaited before another is asked.
      */
-    private static final double PLAIN_PATIENCE = 0.8;
+    private static final double PLAIN_PATIENCE = 0.9;
 
-    private static final double STREAM_PATIENCE = 0.55;
-    private static final Duration GAP_PATIENCE = Duration.ofMillis(1300);
+    private static final double STREAM_PATIENCE = 0.5;
+    private static final Duration GAP_PATIENCE = Duration.ofMillis(1800);
     private static final Duration SECOND_LOOK = Duration.ofMillis(300);
 
     private final CallContext context;
@@ -152,7 +152,7 @@
         long left = patience().toNanos() - (now - last);
         if (left > 0) {
             context.control().after(Duration.ofNanos(left), this::watchSilence);
-        } else if (context.state().mayMove(call.job(), now)) {
+        } else if (context.state().mayMove(call.job(), send, firstNanos != 0, now)) {
             context.traffic().execute(() -> cancel(Outcome.SILENT));
         } else {
             context.control().after(SECOND_LOOK, this::watchSilence);
--- a/router/src/main/java/org/wigeonferry/router/RouterAddresses.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterAddresses.java
@@ -8,6 +8,7 @@
  * <p>Immutable and thread safe.
  *
  * @param callers requests to be routed
- * @param ready readiness for the balancer, and metrics as text at {@code /metrics}
+ * @param ready readiness, for the balancer
+ * @param metrics metrics as text, at {@code /metrics}
  */
-public record RouterAddresses(HostAddress callers, HostAddress ready) {}
+public record RouterAddresses(HostAddress callers, HostAddress ready, HostAddress metrics) {}
--- a/router/src/main/java/org/wigeonferry/router/RouterServer.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterServer.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.router;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.http.UriCompliance;
@@ -75,8 +76,13 @@
                                 new Refusals(),
                                 metrics,
                                 inFlight));
+        metrics.gauge("in_flight", inFlight::get);
         callers = start(threads, addresses.callers(), handler);
-        ready = HttpServers.start("ready", addresses.ready(), readiness(metrics));
+        ready =
+                HttpServers.start(
+                        "ready",
+                        List.of(addresses.ready(), addresses.metrics()),
+                        readiness(metrics));
     }
 
     @Override
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -59,6 +59,7 @@
                 new RouterServer(
                         new RouterAddresses(
                                 new HostAddress(LOOPBACK, port),
+                                new HostAddress(LOOPBACK, freePort()),
                                 new HostAddress(LOOPBACK, freePort())),
                         control,
                         router,
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -162,13 +162,24 @@
         return send;
     }
 
-    /** Whether a job whose upstream is silent may be sent to another one. */
-    public boolean mayMove(Job job, long now) {
+    /**
+     * Whether a job whose upstream is silent is better sent to another one.
+     *
+     * @param answered whether the upstream had begun to answer
+     */
+    public boolean mayMove(Job job, Send send, boolean answered, long now) {
         if (!job.route().kind().repeatable() || job.runs() >= job.route().maxRuns()) {
             return false;
         }
+        boolean lost =
+                answered
+                        || upstreams
+                                .state(send.upstream().incarnation())
+                                .map(state -> state.looksLost(send, now))
+                                .orElse(true);
         UpstreamRule elsewhere = rule(job, now);
-        return budget(job.service()).roomy(now, entries)
+        return lost
+                && budget(job.service()).roomy(now, entries)
                 && upstreams.states().stream()
                         .anyMatch(s -> !s.suspended(now) && elsewhere.allows(s, job, now));
     }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -1,6 +1,8 @@
 package org.wigeonferry.routing;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 
 /**
@@ -19,6 +21,19 @@
 
     private static final Duration COLD_SPAN = Duration.ofSeconds(1);
 
+    /** Time to the start of an answer when nothing waits. */
+    private static final Duration LONGEST_START = Duration.ofMillis(1000);
+
+    /** Time that a token takes which waits to be read, with other entries' work beside it. */
+    private static final long NANOS_PER_TOKEN = 250_000;
+
+    /** A send is overtaken by one that started so much later and is answered already. */
+    private static final Duration OVERTAKING = Duration.ofMillis(300);
+
+    private static final int OVERTAKERS = 4;
+    private static final int ANSWERS_KEPT = 16;
+
+    private final Deque<Long> answeredStarts = new ArrayDeque<>();
     private Upstream description;
     private long coldUntilNanos;
     private final Optional<EngineTraits> engine;
@@ -106,8 +121,24 @@
         send.model().ifPresent(model -> memory.read(model, request.parts()));
     }
 
+    /** Whether a send without an answer looks lost rather than queued. */
+    boolean looksLost(Send send, long now) {
+        long waited = now - send.startNanos();
+        long queue = LONGEST_START.toNanos() + unreadTokens * NANOS_PER_TOKEN;
+        boolean nobodyAnswered = answeredStarts.stream().noneMatch(t -> t - send.startNanos() > 0);
+        long overtaken =
+                answeredStarts.stream()
+                        .filter(t -> t - send.startNanos() > OVERTAKING.toNanos())
+                        .count();
+        return (nobodyAnswered && waited > queue) || overtaken >= OVERTAKERS;
+    }
+
     void onHead(Send send, Optional<UpstreamLoad> counted, long now) {
         unreadTokens -= send.uncachedTokens();
+        answeredStarts.addLast(send.startNanos());
+        if (answeredStarts.size() > ANSWERS_KEPT) {
+            answeredStarts.removeFirst();
+        }
         counted.ifPresent(value -> noteLoad(value, now));
     }
 
