Better answers in doubt only while the service is not slow, the urgent ones longest

Change: a mean of how late answers begin, over the usual time for their tokens, bounds up to which a rank may drop an answer in doubt (7, 4.5, 3).

--- a/routing/src/main/java/org/wigeonferry/routing/Placer.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Placer.java
@@ -78,19 +78,20 @@
     }
 
     static Send send(UpstreamState state, Job job, ModelStep step, long now) {
-        OptionalInt rank =
-                job.account()
-                        .map(Account::rank)
-                        .filter(OptionalInt::isPresent)
-                        .orElse(OptionalInt.of(job.route().rank()));
         return new Send(
                 state.description(),
                 job.account().map(Account::name),
                 step.model(),
                 step.acceptFrom(),
-                rank,
+                OptionalInt.of(rank(job)),
                 Duration.ofNanos(job.deadlineNanos() - now),
                 weighted(state, job, step.model()),
                 now);
     }
+
+    /** Urgency of a job: the account's goes before the route's. */
+    static int rank(Job job) {
+        OptionalInt own = job.account().map(Account::rank).orElse(OptionalInt.empty());
+        return Math.max(0, own.orElse(job.route().rank()));
+    }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
@@ -33,11 +33,7 @@
     /** Sends to the new release that are allowed before its share is reached. */
     private static final int FIRST_SENDS = 2;
 
-    /** Time to a first event with nothing to read, and for each token to be read. */
-    private static final double USUAL_FIRST_MICROS = 80_000;
-
-    private static final double USUAL_TOKEN_MICROS = 60;
-
+    private static final double MILLION = 1_000_000;
     private static final Duration WARM_UP = Duration.ofSeconds(5);
 
     /** Cuts off what single answers add to a mean. */
@@ -195,7 +191,7 @@
         if (!warm || report.firstAnswer().isEmpty()) {
             return new ReleaseEvidence(0, 1, 0, 0, 0, 0, 0);
         }
-        long first = slowness(report.firstAnswer().get(), report.send());
+        long first = Math.round(MILLION * Slowness.of(report.firstAnswer().get(), report.send()));
         long gap = report.meanGap().map(RollOutBoard::micros).orElse(0L);
         int gaps = report.meanGap().isPresent() ? 1 : 0;
         return new ReleaseEvidence(0, 1, 0, 1, first, gap, gaps);
@@ -240,12 +236,6 @@
         return (double) (now - order.startNanos()) / order.duration().toNanos();
     }
 
-    /** A time to the first event over the usual one for the tokens to be read, in millionths. */
-    private static long slowness(Duration first, Send send) {
-        double usual = USUAL_FIRST_MICROS + USUAL_TOKEN_MICROS * send.uncachedTokens();
-        return (long) (1_000_000 * Math.min(MOST_SLOWNESS, micros(first) / usual));
-    }
-
     private static long micros(Duration duration) {
         return duration.toNanos() / 1000;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -17,6 +17,9 @@
     /** Least time with which a send makes sense. */
     private static final Duration MIN_LEFT = Duration.ofMillis(20);
 
+    /** Slowness of a service up to which answers in doubt are bettered, by rank. */
+    private static final double[] BUSIEST = {7, 4.5, 3};
+
     private final RoutingLimits limits;
     private final Freshness freshness;
     private final ModelChoice modelChoice;
@@ -26,6 +29,7 @@
     private final Placer placer;
     private final Set<String> closedZones = new HashSet<>();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final Map<String, Slowness> slowness = new HashMap<>();
     private final PoisonRegister poison = new PoisonRegister();
     private Optional<RoutingConfig> config = Optional.empty();
     private int entries;
@@ -144,7 +148,7 @@
         if (!mayRunAgain(job)) {
             return refusedAfter(job, RefusalCause.NOT_RUN);
         }
-        ModelStep model = modelChoice.choose(job, budget(job.service()).roomy(now, entries));
+        ModelStep model = modelChoice.choose(job, mayBetter(job, now));
         UpstreamRule rule = rule(job, now);
         Optional<UpstreamState> chosen =
                 rollOuts.rules(job, now).stream()
@@ -186,6 +190,8 @@
 
     /** Takes the head of an answer: the upstream has read the prompt. */
     public void onHead(Send send, Optional<UpstreamLoad> load, long now) {
+        Duration first = Duration.ofNanos(now - send.startNanos());
+        slowness(send.upstream().service()).note(first, send, now);
         upstreams
                 .state(send.upstream().incarnation())
                 .ifPresent(state -> state.onHead(send, load, now));
@@ -285,6 +291,20 @@
         rollOuts.onSend(send, job, now);
     }
 
+    /**
+     * Whether an answer in doubt may be dropped: the busier a service, the more urgent it has to
+     * be.
+     */
+    private boolean mayBetter(Job job, long now) {
+        int rank = Math.min(Placer.rank(job), BUSIEST.length - 1);
+        return slowness(job.service()).mean(now) < BUSIEST[rank]
+                && budget(job.service()).roomy(now, entries);
+    }
+
+    private Slowness slowness(String service) {
+        return slowness.computeIfAbsent(service, name -> new Slowness());
+    }
+
     private RetryBudget budget(String service) {
         return budgets.computeIfAbsent(service, name -> new RetryBudget(limits));
     }
--- a/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
@@ -166,6 +166,44 @@
         assertThat(second.acceptFrom()).isZero();
     }
 
+    @Test
+    void silentSendIsMovedOnlyIfItLooksLost() {
+        state.upstreams().put(RoutingFixtures.upstream("a", "model"), NOW);
+        state.upstreams().put(RoutingFixtures.upstream("b", "model"), NOW);
+        Job job = RoutingFixtures.admitted(state, RoutingFixtures.request("chat"), NOW);
+        Send send = (Send) RoutingFixtures.place(state, job, NOW);
+        long soon = NOW + RoutingFixtures.SECOND / 2;
+        long late = NOW + 2 * RoutingFixtures.SECOND;
+        assertThat(state.mayMove(job, send, false, soon)).isFalse();
+        assertThat(state.mayMove(job, send, false, late)).isTrue();
+    }
+
+    @Test
+    void unsafeRequestIsNeverMoved() {
+        state.upstreams().put(RoutingFixtures.upstream("a", "desk"), NOW);
+        state.upstreams().put(RoutingFixtures.upstream("b", "desk"), NOW);
+        Job job = RoutingFixtures.admitted(state, RoutingFixtures.request("book"), NOW);
+        Send send = (Send) RoutingFixtures.place(state, job, NOW);
+        long late = NOW + 2 * RoutingFixtures.SECOND;
+        assertThat(state.mayMove(job, send, false, late)).isFalse();
+    }
+
+    @Test
+    void slowServiceTakesAnswersInDoubt() {
+        state.upstreams().put(RoutingFixtures.upstream("a", "model"), NOW);
+        long now = NOW;
+        for (int i = 0; i < 60; i++) {
+            now += RoutingFixtures.SECOND / 100;
+            RoutingFixtures.confirm(state, now);
+            Job job = RoutingFixtures.admitted(state, RoutingFixtures.request("chat"), now);
+            Send send = (Send) RoutingFixtures.place(state, job, now);
+            state.onHead(send, Optional.empty(), now + 10 * RoutingFixtures.SECOND);
+            state.ended(job, "c" + i, RoutingFixtures.report(send, Outcome.ANSWERED), now);
+        }
+        Job job = RoutingFixtures.admitted(state, RoutingFixtures.request("chat"), now);
+        assertThat(((Send) RoutingFixtures.place(state, job, now)).acceptFrom()).isZero();
+    }
+
     @Test
     void lateJobIsRefusedAsNotRun() {
         state.upstreams().put(RoutingFixtures.upstream("a", "desk"), NOW);
--- /dev/null
+++ b/routing/src/test/java/org/wigeonferry/routing/SlownessTest.java
@@ -0,0 +1,40 @@
+package org.wigeonferry.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+
+class SlownessTest {
+    private static final Send SEND =
+            new Send(
+                    RoutingFixtures.upstream("a", "model"),
+                    Optional.empty(),
+                    Optional.empty(),
+                    0,
+                    OptionalInt.empty(),
+                    Duration.ofSeconds(1),
+                    2000,
+                    0);
+
+    private final Slowness slowness = new Slowness();
+
+    @Test
+    void usualAnswersAreNormal() {
+        for (int i = 0; i < 50; i++) {
+            slowness.note(Duration.ofMillis(200), SEND, i);
+        }
+        assertThat(slowness.mean(50)).isBetween(0.9, 1.1);
+    }
+
+    @Test
+    void lateAnswersRaiseItAndSilenceLowersIt() {
+        for (int i = 0; i < 50; i++) {
+            slowness.note(Duration.ofSeconds(20), SEND, i);
+        }
+        assertThat(slowness.mean(50)).isGreaterThan(10);
+        assertThat(slowness.mean(20 * RoutingFixtures.SECOND)).isLessThan(2);
+    }
+}
