--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.router;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -109,6 +110,6 @@
     }
 
     private static String lower(String name) {
-        return name.toLowerCase(java.util.Locale.ROOT);
+        return name.toLowerCase(Locale.ROOT);
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/DepartureEndPoint.java
+++ b/router/src/main/java/org/wigeonferry/router/DepartureEndPoint.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadPendingException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeoutException;
@@ -56,7 +57,7 @@
     @Override
     public void fillInterested(Callback callback) {
         if (!tryFillInterested(callback)) {
-            throw new java.nio.channels.ReadPendingException();
+            throw new ReadPendingException();
         }
     }
 
--- a/router/src/main/java/org/wigeonferry/router/EventScanner.java
+++ b/router/src/main/java/org/wigeonferry/router/EventScanner.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -85,6 +86,6 @@
     }
 
     private static byte[] tail(byte[] all, int from) {
-        return java.util.Arrays.copyOfRange(all, from, all.length);
+        return Arrays.copyOfRange(all, from, all.length);
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/FrontHandler.java
+++ b/router/src/main/java/org/wigeonferry/router/FrontHandler.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.router;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
@@ -108,10 +109,10 @@
     private void refuse(CallerReply reply, String id, RefusalCause cause, long revision) {
         LOG.atWarn()
                 .addKeyValue("request", id)
-                .addKeyValue("cause", cause.name().toLowerCase(java.util.Locale.ROOT))
+                .addKeyValue("cause", cause.name().toLowerCase(Locale.ROOT))
                 .addKeyValue("revision", revision)
                 .log("refused");
-        context.metrics().count("refused_" + cause.name().toLowerCase(java.util.Locale.ROOT));
+        context.metrics().count("refused_" + cause.name().toLowerCase(Locale.ROOT));
         context.refusals().answer(reply, cause);
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/JettySender.java
+++ b/router/src/main/java/org/wigeonferry/router/JettySender.java
@@ -19,6 +19,8 @@
  * to that one; a fresh one can't, and what was written to it is known. Thread safe.
  */
 public final class JettySender implements UpstreamSender, AutoCloseable {
+    private static final int HEADER_BYTES = 32 << 10;
+
     private final HttpClient client;
 
     /** Starts the client; connections that aren't up in time count as not sent. */
@@ -28,8 +30,6 @@
         client.setMaxResponseHeadersSize(HEADER_BYTES);
     }
 
-    private static final int HEADER_BYTES = 32 << 10;
-
     @Override
     public Runnable send(SendOrder order, SendListener listener) {
         Request request = request(order);
--- a/router/src/main/java/org/wigeonferry/router/Refusals.java
+++ b/router/src/main/java/org/wigeonferry/router/Refusals.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -56,6 +57,6 @@
     }
 
     private static String name(RefusalCause cause) {
-        return cause.name().toLowerCase(java.util.Locale.ROOT);
+        return cause.name().toLowerCase(Locale.ROOT);
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -1,5 +1,6 @@
 package org.wigeonferry.router;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
@@ -198,7 +199,7 @@
         }
         if (started) {
             log.brokenOff(cause);
-            reply.breakOff(new java.io.IOException("stream can't go on: " + cause));
+            reply.breakOff(new IOException("stream can't go on: " + cause));
             return;
         }
         if (instead.isPresent()) {
@@ -222,7 +223,7 @@
         open.ifPresent(send -> send.cancel(Outcome.SILENT));
         if (started) {
             log.brokenOff(RefusalCause.TIMED_OUT);
-            reply.breakOff(new java.io.IOException("time is over"));
+            reply.breakOff(new IOException("time is over"));
             return;
         }
         RefusalCause cause = job.runs() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE;
@@ -240,7 +241,7 @@
         }
         open.ifPresent(send -> send.cancel(Outcome.ABANDONED));
         log.left();
-        reply.breakOff(new java.io.IOException("caller left"));
+        reply.breakOff(new IOException("caller left"));
     }
 
     private boolean isCurrent(RoutedSend send) {
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -17,9 +17,6 @@
     /** Least time with which a send makes sense. */
     private static final Duration MIN_LEFT = Duration.ofMillis(20);
 
-    /** Slowness of a service up to which answers in doubt are bettered, by rank. */
-    private static final double[] BUSIEST = {7, 4.5, 3};
-
     private final RoutingLimits limits;
     private final Freshness freshness;
     private final ModelChoice modelChoice;
@@ -28,8 +25,7 @@
     private final RollOutBoard rollOuts;
     private final Placer placer;
     private final Set<String> closedZones = new HashSet<>();
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
-    private final Map<String, Slowness> slowness = new HashMap<>();
+    private final Map<String, ServiceState> services = new HashMap<>();
     private final PoisonRegister poison = new PoisonRegister();
     private Optional<RoutingConfig> config = Optional.empty();
     private int entries;
@@ -148,8 +144,10 @@
         if (!mayRunAgain(job)) {
             return refusedAfter(job, RefusalCause.NOT_RUN);
         }
-        ModelStep model = modelChoice.choose(job, mayBetter(job, now));
-        UpstreamRule rule = rule(job, now);
+        ModelStep model =
+                modelChoice.choose(
+                        job, service(job.service()).mayBetter(Placer.rank(job), now, entries));
+        UpstreamRule rule = rule();
         Optional<UpstreamState> chosen =
                 rollOuts.rules(job, now).stream()
                         .map(r -> placer.choose(job, model.model(), rule.and(r), now))
@@ -158,7 +156,7 @@
         if (chosen.isEmpty()) {
             return refusedAfter(job, RefusalCause.NO_UPSTREAM);
         }
-        if (job.sentBefore() && !budget(job.service()).tryRepeat(now, entries)) {
+        if (job.sentBefore() && !service(job.service()).budget().tryRepeat(now, entries)) {
             return refusedAfter(job, RefusalCause.OVERLOADED);
         }
         Send send = Placer.send(chosen.get(), job, model, now);
@@ -181,9 +179,9 @@
                                 .state(send.upstream().incarnation())
                                 .map(state -> state.looksLost(send, now))
                                 .orElse(true);
-        UpstreamRule elsewhere = rule(job, now);
+        UpstreamRule elsewhere = rule();
         return lost
-                && budget(job.service()).roomy(now, entries)
+                && service(job.service()).budget().roomy(now, entries)
                 && upstreams.states().stream()
                         .anyMatch(s -> !s.suspended(now) && elsewhere.allows(s, job, now));
     }
@@ -191,7 +189,7 @@
     /** Takes the head of an answer: the upstream has read the prompt. */
     public void onHead(Send send, Optional<UpstreamLoad> load, long now) {
         Duration first = Duration.ofNanos(now - send.startNanos());
-        slowness(send.upstream().service()).note(first, send, now);
+        service(send.upstream().service()).slowness().note(first, send, now);
         upstreams
                 .state(send.upstream().incarnation())
                 .ifPresent(state -> state.onHead(send, load, now));
@@ -258,54 +256,34 @@
         return new Job(request, route, account, service, deadline, config.get().revision());
     }
 
-    private UpstreamRule rule(Job job, long now) {
-        UpstreamRule serves = (state, j, t) -> state.description().service().equals(j.service());
-        UpstreamRule stays = (state, j, t) -> !state.description().leaving();
-        UpstreamRule open = (state, j, t) -> !closedZones.contains(state.description().zone());
-        UpstreamRule untried = (state, j, t) -> !j.tried(state.description().incarnation());
-        UpstreamRule bearable = (state, j, t) -> bears(state, t);
-        return serves.and(stays).and(open).and(untried).and(bearable);
+    private UpstreamRule rule() {
+        return UpstreamRules.SERVES
+                .and(UpstreamRules.STAYS)
+                .and(UpstreamRules.UNTRIED)
+                .and(UpstreamRules.outside(closedZones))
+                .and(UpstreamRules.bearing(this::coldPerSecond));
     }
 
-    private boolean bears(UpstreamState state, long now) {
-        if (!state.cold(now)) {
-            return true;
-        }
+    private double coldPerSecond(String service) {
         double rate =
-                config.flatMap(c -> c.service(state.description().service()))
+                config.flatMap(c -> c.service(service))
                         .map(ServiceTraits::coldPerSecond)
                         .orElse(0.0);
-        if (rate <= 0) {
-            return true;
-        }
-        double all = rate * limits.coldOverage() + limits.coldExtra();
-        return state.sentLastSecond(now) + 1 <= Math.max(1, Math.floor(all / entries));
+        return rate <= 0
+                ? Double.POSITIVE_INFINITY
+                : (rate * limits.coldOverage() + limits.coldExtra()) / entries;
     }
 
     private void started(Send send, UpstreamState state, Job job, long now) {
         if (!job.sentBefore()) {
-            budget(job.service()).onFirst(now);
+            service(job.service()).budget().onFirst(now);
         }
         job.onSend(send.upstream().incarnation());
         state.onSend(send, job.request(), now);
         rollOuts.onSend(send, job, now);
     }
 
-    /**
-     * Whether an answer in doubt may be dropped: the busier a service, the more urgent it has to
-     * be.
-     */
-    private boolean mayBetter(Job job, long now) {
-        int rank = Math.min(Placer.rank(job), BUSIEST.length - 1);
-        return slowness(job.service()).mean(now) < BUSIEST[rank]
-                && budget(job.service()).roomy(now, entries);
-    }
-
-    private Slowness slowness(String service) {
-        return slowness.computeIfAbsent(service, name -> new Slowness());
-    }
-
-    private RetryBudget budget(String service) {
-        return budgets.computeIfAbsent(service, name -> new RetryBudget(limits));
+    private ServiceState service(String name) {
+        return services.computeIfAbsent(name, key -> new ServiceState(limits));
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
@@ -68,7 +69,7 @@
 
     /** The ids of all known upstreams. */
     public Collection<String> ids() {
-        return java.util.List.copyOf(states.keySet());
+        return List.copyOf(states.keySet());
     }
 
     /** Describes an upstream. */
--- a/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -134,7 +135,7 @@
     @Test
     void breaksAtOtherEntriesCount() {
         look("a");
-        state.poison().suspects("peer", java.util.Map.of("content", 2), NOW);
+        state.poison().suspects("peer", Map.of("content", 2), NOW);
         Job job = RoutingFixtures.admitted(state, RoutingFixtures.request("look"), NOW);
         assertThat(RoutingFixtures.place(state, job, NOW))
                 .isEqualTo(new Refused(RefusalCause.POISON));
