Never say "not run" after a run when stale; reckon with many routers until notes had time

Cause: at the last reading, place() answered a job that had run with STALE_CONFIGURATION, a 503 that promises "not run" (only requests that may be repeated could meet it); routers that start together read an empty table of notes and each took the whole cold-start and retry limits until the first notes came. Ruled out: requests that may run once only (they are never placed again after a run). Change: the refusal turns into "outcome unknown" after a run; the count of routers is believed 6 s after the first read.

--- a/router/src/main/java/org/wigeonferry/router/Membership.java
+++ b/router/src/main/java/org/wigeonferry/router/Membership.java
@@ -11,10 +11,14 @@
  * limit are never too large just because somebody is out of sight. Owned by the control thread.
  */
 final class Membership {
+    /** Time in which entries that started together have published and read their first notes. */
+    private static final Duration SETTLING = Duration.ofSeconds(6);
+
     private final long lifeNanos;
     private final int leastUntilKnown;
     private final Map<String, Long> seen = new HashMap<>();
     private boolean known;
+    private long knownSinceNanos;
 
     Membership(Duration life, int leastUntilKnown) {
         lifeNanos = life.toNanos();
@@ -25,9 +29,12 @@
         seen.put(entry, now);
     }
 
-    /** Notes that all rows have been read once. */
-    void known() {
-        known = true;
+    /** Notes that all rows have been read. */
+    void known(long now) {
+        if (!known) {
+            known = true;
+            knownSinceNanos = now;
+        }
     }
 
     /**
@@ -37,6 +44,7 @@
         if (storeAnswers) {
             seen.values().removeIf(at -> now - at > lifeNanos);
         }
-        return known ? Math.max(1, seen.size()) : Math.max(leastUntilKnown, seen.size());
+        boolean settled = known && now - knownSinceNanos >= SETTLING.toNanos();
+        return settled ? Math.max(1, seen.size()) : Math.max(leastUntilKnown, seen.size());
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -170,7 +170,7 @@
 
     /** Notes that all entries' notes were read once. */
     public void entriesKnown() {
-        membership.known();
+        membership.known(control.nanoTime());
     }
 
     /** Whether callers may be sent here. */
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -133,7 +133,7 @@
     /** Decides where a job goes next. */
     public Placement place(Job job, String content, long now, long wallMillis) {
         if (job.account().isPresent() && !stillAllowed(job, now, wallMillis)) {
-            return new Refused(RefusalCause.STALE_CONFIGURATION);
+            return refusedAfter(job, RefusalCause.STALE_CONFIGURATION);
         }
         if (job.deadlineNanos() - now < MIN_LEFT.toNanos()) {
             return new Refused(job.runs() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE);
--- a/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
@@ -50,6 +50,17 @@
                 .isEqualTo(new Refused(RefusalCause.STALE_CONFIGURATION));
     }
 
+    @Test
+    void refusalAfterARunNeverSaysNotRunAlsoWhenStale() {
+        state.upstreams().put(RoutingFixtures.upstream("a", "desk"), NOW);
+        Job job = RoutingFixtures.admitted(state, RoutingFixtures.request("look"), NOW);
+        Send send = (Send) RoutingFixtures.place(state, job, NOW);
+        state.ended(job, "content", RoutingFixtures.report(send, Outcome.FAILED), NOW);
+        state.configured(RoutingConfig.builder(8).keyed().build());
+        assertThat(RoutingFixtures.place(state, job, NOW))
+                .isEqualTo(new Refused(RefusalCause.OUTCOME_UNKNOWN));
+    }
+
     @Test
     void revokedKeyStopsAJobThatWaits() {
         state.upstreams().put(RoutingFixtures.upstream("a", "desk"), NOW);
