Secure a bill until the caller's deadline, not by one round of asking

An entry asked each peer once, with 400 ms, then the store, and gave up 4 to 5 s into a deadline of 15 s; peers that were slower than 400 ms lost it finished work. A call that broke while it was encoded left the caller waiting.

Ruled out: deadlines of the requests (all 502 had 10 s left), freshness (no refusal among them).

Change: BillSecuring makes round after round (peers, then the store), each with twice the time of the one before, until the caller's deadline; a bill that a batch wrote meanwhile counts as secured; a broken call counts as a refusal.

--- a/entry/src/main/java/org/wigeonferry/entry/BillKeeper.java
+++ b/entry/src/main/java/org/wigeonferry/entry/BillKeeper.java
@@ -3,11 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.slf4j.Logger;
@@ -37,7 +35,6 @@
     static final String HOLD_PATH = "/peer/hold";
 
     private static final Logger LOG = LoggerFactory.getLogger(BillKeeper.class);
-    private static final int MAX_HOLD_TRIES = 3;
     private static final Duration HOLD_TIMEOUT = Duration.ofMillis(400);
 
     /** How long an owner may be silent before its bills are written by their holder. */
@@ -70,18 +67,29 @@
         control.every(OWNER_SILENCE.dividedBy(2), this::lookAfterOthers);
     }
 
-    /** Secures a bill; false if neither a second host nor the store could take it. */
-    CompletableFuture<Boolean> secure(Bill bill) {
+    /** Secures a bill; false if neither a second host nor the store took it in time. */
+    CompletableFuture<Boolean> secure(Bill bill, Duration within) {
         return control.ask(
                         () -> {
                             if (!ledger.add(bill)) {
                                 return CompletableFuture.completedFuture(false);
                             }
-                            return holdAtPeer(bill, new HashSet<>(), MAX_HOLD_TRIES);
+                            return securing(bill, within).begin();
                         })
                 .thenCompose(secured -> secured);
     }
 
+    private BillSecuring securing(Bill bill, Duration within) {
+        return new BillSecuring(
+                bill,
+                within,
+                control,
+                state,
+                (peer, bills, timeout) -> sendHold(peer, bills, List.of(), timeout),
+                writer,
+                holders);
+    }
+
     /** Holds bills for a peer, unless this process is stopping. */
     CompletableFuture<byte[]> onHold(byte[] body) {
         return control.ask(
@@ -109,39 +117,15 @@
         return !state.stopping() && ledger.hold(owner, bills);
     }
 
-    private CompletableFuture<Boolean> holdAtPeer(Bill bill, Set<NodeId> tried, int triesLeft) {
-        Optional<Peer> peer = state.shared().otherZonePeer(tried, control.nanoTime());
-        if (peer.isEmpty() || triesLeft == 0) {
-            return writer.writeNow(bill);
-        }
-        tried.add(peer.get().node());
-        return sendHold(peer.get(), List.of(bill), List.of())
-                .thenCompose(
-                        held ->
-                                control.ask(
-                                        () ->
-                                                onHoldReply(
-                                                        bill, peer.get(), held, tried, triesLeft)))
-                .thenCompose(secured -> secured);
-    }
-
-    private CompletableFuture<Boolean> onHoldReply(
-            Bill bill, Peer peer, boolean held, Set<NodeId> tried, int triesLeft) {
-        if (!held) {
-            return holdAtPeer(bill, tried, triesLeft - 1);
-        }
-        holders.onHeld(bill.key(), peer, ledger.find(bill.key()).isEmpty());
-        return CompletableFuture.completedFuture(true);
-    }
-
-    private CompletableFuture<Boolean> sendHold(Peer peer, List<Bill> hold, List<String> drop) {
+    private CompletableFuture<Boolean> sendHold(
+            Peer peer, List<Bill> hold, List<String> drop, Duration timeout) {
         HoldMessage message = new HoldMessage();
         message.setOwner(state.shared().identity().incarnation().value());
         message.setOwnerEpoch(state.shared().identity().epoch());
         message.setHold(hold.stream().map(Bills::toMessage).toList());
         message.setDrop(drop);
         try {
-            return calls.call(peer.address(), HOLD_PATH, Codec.encode(message), HOLD_TIMEOUT)
+            return calls.call(peer.address(), HOLD_PATH, Codec.encode(message), timeout)
                     .thenApply(BillKeeper::held)
                     .exceptionally(failure -> false);
         } catch (CodecException e) {
@@ -162,7 +146,7 @@
         for (Peer peer : state.shared().peers().live(control.nanoTime())) {
             List<String> drops = holders.takeDrops(peer.node());
             if (!drops.isEmpty()) {
-                sendHold(peer, List.of(), drops);
+                sendHold(peer, List.of(), drops, HOLD_TIMEOUT);
             }
         }
         holders.forgetDropsOfOthers();
@@ -195,7 +179,7 @@
         if (orphans.isEmpty() || peer.isEmpty()) {
             return;
         }
-        sendHold(peer.get(), orphans, List.of())
+        sendHold(peer.get(), orphans, List.of(), HOLD_TIMEOUT)
                 .thenAccept(held -> control.run(() -> onHeldElsewhere(orphans, peer.get(), held)));
     }
 
--- a/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ChatCall.java
@@ -209,7 +209,8 @@
                                 .target(version().id().value())
                                 .tokens(tokens)
                                 .costMicros(costMicros)
-                                .build());
+                                .build(),
+                        call.remaining());
     }
 
     private void deliver(DeliverableAnswer answer) {
--- a/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ServiceEndpoint.java
@@ -107,7 +107,7 @@
             return;
         }
         runtime.bills()
-                .secure(bill(call, target))
+                .secure(bill(call, target), call.remaining())
                 .thenAccept(
                         secured -> {
                             leave(call, secured ? "answered" : "failed");
