Keep an upstream past its removal only after an outage of the store

The first answer of the store counted as its return after an outage, so the removal was held back for the grace of 2 s, and up to 0.5 s more to the next look. A connection that broke and came back did the same.

Ruled out: a late feed (the removal was known 0.4 s after it), a read whose rows are older than its version.

Change: the grace begins only if the store had answered before and then was silent for 2.4 s, two heartbeats; three are needed for an entry to lapse.

With it, found when the code was read: timeouts and refusals at admission are answered from traffic threads; refusals carry the configuration's age; gauges show copies that the control thread makes; work that comes after the stop is counted and dropped, not logged as a failed control task.

--- a/router/src/main/java/org/wigeonferry/router/FrontHandler.java
+++ b/router/src/main/java/org/wigeonferry/router/FrontHandler.java
@@ -31,8 +31,6 @@
     /** Time after a stop signal in which requests are still taken. */
     private static final Duration LAST_ADMISSION = Duration.ofMillis(2700);
 
-    private static final long NO_REVISION = -1;
-
     private final CallContext context;
     private volatile boolean stopping;
     private volatile boolean closed;
@@ -52,14 +50,14 @@
         CallerReply reply = new CallerReply(response, callback);
         Optional<RoutedRequest> decoded = context.protocol().requests().decode(request);
         if (decoded.isEmpty()) {
-            refuse(reply, "", RefusalCause.MALFORMED, NO_REVISION);
+            refuse(reply, "", RefusalCause.MALFORMED, ConfigurationSeen.NONE);
             return true;
         }
         if (stopping) {
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
         if (closed) {
-            refuse(reply, decoded.get().id(), RefusalCause.STOPPING, NO_REVISION);
+            refuse(reply, decoded.get().id(), RefusalCause.STOPPING, ConfigurationSeen.NONE);
             return true;
         }
         context.inFlight().incrementAndGet();
@@ -68,22 +66,22 @@
     }
 
     private void admit(Request request, RoutedRequest routed, CallerReply reply) {
-        Admission admission =
-                context.state()
-                        .admit(routed, context.control().nanoTime(), System.currentTimeMillis());
+        long now = context.control().nanoTime();
+        Admission admission = context.state().admit(routed, now, System.currentTimeMillis());
+        ConfigurationSeen seen = ConfigurationSeen.of(context.state(), now);
         if (admission instanceof Refused refused) {
-            long revision =
-                    context.state().config().map(RoutingConfig::revision).orElse(NO_REVISION);
-            refuseInFlight(reply, routed.id(), refused.cause(), revision);
+            context.traffic()
+                    .execute(() -> refuseInFlight(reply, routed.id(), refused.cause(), seen));
         } else if (admission instanceof Admitted admitted) {
             int limit = context.state().config().map(RoutingConfig::maxBodyBytes).orElse(0);
-            context.traffic().execute(() -> readBody(request, admitted.job(), limit, reply));
+            context.traffic().execute(() -> readBody(request, admitted.job(), limit, seen, reply));
         }
     }
 
-    private void readBody(Request request, Job job, int limit, CallerReply reply) {
+    private void readBody(
+            Request request, Job job, int limit, ConfigurationSeen seen, CallerReply reply) {
         if (request.getLength() > limit) {
-            refuseInFlight(reply, job.request().id(), RefusalCause.BODY_TOO_LONG, job.revision());
+            refuseInFlight(reply, job.request().id(), RefusalCause.BODY_TOO_LONG, seen);
             return;
         }
         Bodies.read(request, limit)
@@ -101,16 +99,18 @@
                         });
     }
 
-    private void refuseInFlight(CallerReply reply, String id, RefusalCause cause, long revision) {
+    private void refuseInFlight(
+            CallerReply reply, String id, RefusalCause cause, ConfigurationSeen seen) {
         context.inFlight().decrementAndGet();
-        refuse(reply, id, cause, revision);
+        refuse(reply, id, cause, seen);
     }
 
-    private void refuse(CallerReply reply, String id, RefusalCause cause, long revision) {
+    private void refuse(CallerReply reply, String id, RefusalCause cause, ConfigurationSeen seen) {
         LOG.atWarn()
                 .addKeyValue("request", id)
                 .addKeyValue("cause", cause.name().toLowerCase(Locale.ROOT))
-                .addKeyValue("revision", revision)
+                .addKeyValue("revision", seen.revision())
+                .addKeyValue("age_ms", seen.age().toMillis())
                 .log("refused");
         context.metrics().count("refused_" + cause.name().toLowerCase(Locale.ROOT));
         context.refusals().answer(reply, cause);
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -47,7 +47,7 @@
     /** Starts; called on the control thread. */
     void start() {
         long left = job.deadlineNanos() - context.control().nanoTime();
-        deadline = context.control().after(Duration.ofNanos(Math.max(0, left)), this::timedOut);
+        deadline = context.control().after(Duration.ofNanos(Math.max(0, left)), this::timeIsOver);
         caller.onDeparture(this::left);
         place();
     }
@@ -57,11 +57,6 @@
         return job;
     }
 
-    /** The id after which an upstream has to go on, if the caller has events already. */
-    synchronized Optional<String> resumeAfter() {
-        return lastEvent;
-    }
-
     /** Whether the caller has events already. */
     synchronized boolean streaming() {
         return streaming;
@@ -210,7 +205,12 @@
         context.refusals().answer(reply, cause);
     }
 
-    private void timedOut() {
+    private void timeIsOver() {
+        RefusalCause cause = job.runs() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE;
+        context.traffic().execute(() -> timedOut(cause));
+    }
+
+    private void timedOut(RefusalCause cause) {
         Optional<RoutedSend> open;
         boolean started;
         synchronized (this) {
@@ -226,7 +226,6 @@
             reply.breakOff(new IOException("time is over"));
             return;
         }
-        RefusalCause cause = job.runs() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE;
         log.refused(cause);
         context.refusals().answer(reply, cause);
     }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -25,6 +25,9 @@
     /** Entries to reckon with until their rows have been read. */
     public static final int ENTRIES_UNTIL_KNOWN = 8;
 
+    /** Least silence of the store in which living upstreams' entries may have lapsed. */
+    private static final Duration LEAST_OUTAGE = Duration.ofMillis(2400);
+
     private static final Duration LOOK = Duration.ofMillis(500);
 
     /** Looks between notes while nothing is rolled out, and while something is. */
@@ -41,6 +44,7 @@
     private final RollOutReporter rollOuts;
     private final Membership membership = new Membership(ENTRY_LIFE, ENTRIES_UNTIL_KNOWN);
     private boolean storeAnswers;
+    private Optional<Long> answeredNanos = Optional.empty();
     private boolean upstreamsKnown;
     private long beat;
     private int looks;
@@ -84,16 +88,33 @@
 
     /** Takes whether the store answers. */
     public void store(boolean answers) {
-        if (answers == storeAnswers) {
+        if (!answers) {
+            lost();
             return;
         }
-        storeAnswers = answers;
-        if (answers) {
-            state.upstreams().storeReturned(control.nanoTime());
-            LOG.info("store answers");
-            return;
+        long now = control.nanoTime();
+        if (!storeAnswers) {
+            storeAnswers = true;
+            returned(now);
+        }
+        answeredNanos = Optional.of(now);
+    }
+
+    private void lost() {
+        if (storeAnswers) {
+            storeAnswers = false;
+            LOG.warn("store does not answer");
+        }
+    }
+
+    /** Entries lapse in a long outage only: not at a start, nor when a connection breaks. */
+    private void returned(long now) {
+        boolean outage =
+                answeredNanos.filter(last -> now - last >= LEAST_OUTAGE.toNanos()).isPresent();
+        if (outage) {
+            state.upstreams().storeReturned(now);
         }
-        LOG.warn("store does not answer");
+        LOG.atInfo().addKeyValue("outage", outage).log("store answers");
     }
 
     /** Takes an upstream's description. */
--- a/router/src/main/java/org/wigeonferry/router/RouterServer.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterServer.java
@@ -70,7 +70,7 @@
                         new CallContext(
                                 control,
                                 router.state(),
-                                threads,
+                                new TrafficThreads(threads, metrics),
                                 sender,
                                 protocol,
                                 new Refusals(),
--- a/routing/src/main/java/org/wigeonferry/routing/Job.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Job.java
@@ -3,12 +3,13 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A request while it is being served.
  *
- * <p>Invariant: {@link #runs} counts the sends that may have run. Owned by the control thread; the
- * final fields may be read anywhere.
+ * <p>Invariant: {@link #runs} counts the sends that may have run. Changed on the control thread
+ * only; the final fields and {@link #runs} may be read anywhere.
  */
 public final class Job {
     private final RoutedRequest request;
@@ -19,7 +20,7 @@
     private final long revision;
     private final Set<Incarnation> tried = new HashSet<>();
     private boolean doubted;
-    private int runs;
+    private final AtomicInteger runs = new AtomicInteger();
     private int sends;
 
     Job(
@@ -69,7 +70,7 @@
 
     /** Sends that may have run. */
     public int runs() {
-        return runs;
+        return runs.get();
     }
 
     /** Whether a small model's answer was dropped. */
@@ -94,11 +95,11 @@
     void onSend(Incarnation incarnation) {
         tried.add(incarnation);
         sends++;
-        runs++;
+        runs.incrementAndGet();
     }
 
     void onProvedNotRun() {
-        runs--;
+        runs.decrementAndGet();
     }
 
     /** Names the session: the caller's, or the last part of the prompt. */
