--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -20,7 +20,7 @@
  */
 public final class RouterControl {
     /** Entries whose notes stand still for so long are taken as gone. */
-    private static final Duration ENTRY_LIFE = Duration.ofSeconds(12);
+    private static final Duration ENTRY_LIFE = Duration.ofSeconds(15);
 
     /** Entries to reckon with until their rows have been read. */
     public static final int ENTRIES_UNTIL_KNOWN = 8;
@@ -31,7 +31,7 @@
     private static final Duration LOOK = Duration.ofMillis(500);
 
     /** Looks between notes while nothing is rolled out, and while something is. */
-    private static final int CALM_LOOKS = 6;
+    private static final int CALM_LOOKS = 12;
 
     private static final int BUSY_LOOKS = 2;
 
@@ -206,21 +206,30 @@
         if (!storeAnswers) {
             return;
         }
-        boolean busy = false;
         for (RollOut order : state.rollOuts().orders()) {
-            busy |= !over(order);
             state.rollOuts().next(order, now).ifPresent(next -> report(order, next));
         }
+        publishIfDue();
+    }
+
+    /** The first look tells the others of this entry; later ones keep it in their minds. */
+    private void publishIfDue() {
+        boolean due = looks % (rollingOut() ? BUSY_LOOKS : CALM_LOOKS) == 0;
         looks++;
         Map<String, Integer> suspects = state.poison().suspects();
         boolean alarm = !suspects.equals(told) && suspects.values().stream().anyMatch(c -> c > 1);
-        if (alarm || looks % (busy ? BUSY_LOOKS : CALM_LOOKS) == 0) {
+        if (alarm || due) {
             told = suspects;
             beat++;
             notes.publish(new EntryNote(beat, state.rollOuts().evidence(), suspects));
         }
     }
 
+    /** Whether a roll-out is under way. */
+    public boolean rollingOut() {
+        return state.rollOuts().orders().stream().anyMatch(order -> !over(order));
+    }
+
     private boolean over(RollOut order) {
         return state.rollOuts().state(order).filter(s -> s != RollOutState.RUNNING).isPresent();
     }
--- a/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
@@ -3,12 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.routing.Freshness;
 import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.ModelCascade;
+import org.wigeonferry.routing.RollOut;
 import org.wigeonferry.routing.RoutingLimits;
 import org.wigeonferry.routing.RoutingState;
 import org.wigeonferry.routing.Upstream;
@@ -21,6 +24,7 @@
 
     private final VirtualTime time = new VirtualTime();
     private final VirtualControl control = new VirtualControl(time);
+    private final List<EntryNote> published = new ArrayList<>();
     private RouterControl router;
 
     @BeforeEach
@@ -36,7 +40,8 @@
                         new ModelCascade(0),
                         () -> 0.5,
                         1);
-        router = new RouterControl("router", control, state, note -> {}, (order, next, s) -> {});
+        router =
+                new RouterControl("router", control, state, published::add, (order, next, s) -> {});
         router.start();
     }
 
@@ -75,6 +80,23 @@
         assertThat(router.state().upstreams().upstream(ID)).isEmpty();
     }
 
+    @Test
+    void firstNoteIsPublishedSoonAndCalmTimesNeedFew() {
+        router.store(true);
+        time.run(Duration.ofMillis(600));
+        assertThat(published).hasSize(1);
+        time.run(Duration.ofSeconds(60));
+        assertThat(published).hasSizeBetween(8, 11);
+    }
+
+    @Test
+    void rollOutIsToldOfEachSecond() {
+        router.store(true);
+        router.ordered(new RollOut("desk", "r2", Duration.ofSeconds(20), 7, 0));
+        time.run(Duration.ofSeconds(10));
+        assertThat(published).hasSizeBetween(8, 11);
+    }
+
     private static Upstream upstream() {
         return new Upstream(
                 new Incarnation(ID, 1),
--- a/platform/src/test/java/org/wigeonferry/platform/StoreStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/StoreStandIn.java
@@ -1,4 +1,4 @@
-package org.wigeonferry.platform;
+package org.wigeonferry.stand_ins;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -7,27 +7,38 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
 import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.core_types.StepException;
 import org.wigeonferry.node_runtime.Bodies;
 import org.wigeonferry.node_runtime.HttpServers;
 import org.wigeonferry.node_runtime.Replies;
 import org.wigeonferry.node_runtime.Routes;
 import org.wigeonferry.platform_clients.JsonCalls;
 
-/** A store that speaks the platform's protocol, with the faults that it may have. Thread safe. */
-final class StoreStandIn implements AutoCloseable {
+/**
+ * A store that speaks the platform's protocol, with the faults that it may have.
+ *
+ * <p>Thread safe: rows are touched under the lock of this object.
+ */
+public final class StoreStandIn implements AutoCloseable {
     private static final int PAGE = 3;
+    private static final long LONGEST_WAIT_MILLIS = 30_000;
 
     private final Map<String, ObjectNode> rows = new LinkedHashMap<>();
     private final List<ObjectNode> history = new ArrayList<>();
+    private final List<WaitingQuestion> waiting = new ArrayList<>();
+    private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
     private final HostAddress address;
     private final Server server;
     private long version = 10;
@@ -35,8 +46,11 @@
     private int refusals;
     private int lostAnswers;
     private int calls;
+    private boolean refusedBefore;
+    private final List<Long> waitsAfterRefusals = new ArrayList<>();
 
-    StoreStandIn() throws Exception {
+    /** Starts on a free port. */
+    public StoreStandIn() throws IOException, StepException {
         try (ServerSocket socket = new ServerSocket(0)) {
             address = new HostAddress("127.0.0.1", socket.getLocalPort());
         }
@@ -50,55 +64,73 @@
                                 .add("POST", "/api/rows-tx", this::write));
     }
 
-    HostAddress address() {
+    /** Where it listens. */
+    public HostAddress address() {
         return address;
     }
 
-    synchronized int calls() {
+    /** Calls so far, refused ones included. */
+    public synchronized int calls() {
         return calls;
     }
 
+    /** How long questions that followed a refusal were willing to wait, in milliseconds. */
+    public synchronized List<Long> waitsAfterRefusals() {
+        return List.copyOf(waitsAfterRefusals);
+    }
+
     /** Refuses the next calls. */
-    synchronized void refuse(int count) {
+    public synchronized void refuse(int count) {
         refusals = count;
     }
 
     /** Does the next writes but breaks their connections instead of answering. */
-    synchronized void loseAnswers(int count) {
+    public synchronized void loseAnswers(int count) {
         lostAnswers = count;
     }
 
     /** Forgets all history. */
-    synchronized void forget() {
+    public synchronized void forget() {
         oldest = version;
         history.clear();
     }
 
-    synchronized void put(String table, String key, String text) {
-        putBase64(table, key, StoreRow.base64(text));
+    /** Writes a row. */
+    public synchronized void put(String table, String key, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        putBase64(table, key, Base64.getEncoder().encodeToString(bytes));
     }
 
-    synchronized void putBase64(String table, String key, String value) {
+    /** Writes a row whose value need not be well formed. */
+    public synchronized void putBase64(String table, String key, String value) {
         version++;
         ObjectNode row = JsonCalls.object();
         row.put("table", table).put("part", "").put("key", key);
         row.put("value", value).put("ver", version);
         rows.put(table + "/" + key, row);
         history.add(row);
+        changed();
     }
 
-    synchronized void remove(String table, String key) {
+    /** Drops a row. */
+    public synchronized void remove(String table, String key) {
         version++;
         rows.remove(table + "/" + key);
         ObjectNode row = JsonCalls.object();
         row.put("table", table).put("part", "").put("key", key);
         row.put("removed", true).put("ver", version);
         history.add(row);
+        changed();
     }
 
-    synchronized String text(String table, String key) {
+    /** Value of a row; empty if there is none. */
+    public synchronized String text(String table, String key) {
         ObjectNode row = rows.get(table + "/" + key);
-        return row == null ? "" : StoreRow.text(row.path("value").asText()).orElse("");
+        if (row == null) {
+            return "";
+        }
+        byte[] bytes = Base64.getDecoder().decode(row.path("value").asText());
+        return new String(bytes, StandardCharsets.UTF_8);
     }
 
     private boolean refused(Response response, Callback callback) {
@@ -129,21 +161,52 @@
     }
 
     private synchronized void feed(Request request, Response response, Callback callback) {
-        if (refused(response, callback)) {
+        Fields query = Request.extractQueryParameters(request);
+        if (refusedBefore) {
+            waitsAfterRefusals.add(Long.parseLong(query.getValue("wait_ms")));
+        }
+        refusedBefore = refused(response, callback);
+        if (refusedBefore) {
             return;
         }
-        Fields query = Request.extractQueryParameters(request);
         long after = Long.parseLong(query.getValue("after_rev"));
         if (after < oldest) {
             Replies.json(response, callback, 410, JsonCalls.object());
             return;
         }
-        List<ObjectNode> changes =
-                history.stream()
-                        .filter(row -> row.path("table").asText().equals(query.getValue("table")))
-                        .filter(row -> row.path("ver").asLong() > after)
-                        .toList();
-        Replies.json(response, callback, 200, answer(changes));
+        long wait = Math.min(LONGEST_WAIT_MILLIS, Long.parseLong(query.getValue("wait_ms")));
+        WaitingQuestion question =
+                new WaitingQuestion(query.getValue("table"), after, response, callback);
+        if (wait == 0 || !changes(question).isEmpty()) {
+            Replies.json(response, callback, 200, answer(changes(question)));
+            return;
+        }
+        waiting.add(question);
+        timer.schedule(() -> answerNow(question), wait, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void answerNow(WaitingQuestion question) {
+        if (waiting.remove(question)) {
+            ObjectNode body = answer(changes(question));
+            Replies.json(question.response(), question.callback(), 200, body);
+        }
+    }
+
+    private synchronized void answerAll() {
+        List.copyOf(waiting).forEach(this::answerNow);
+    }
+
+    private void changed() {
+        List.copyOf(waiting).stream()
+                .filter(question -> !changes(question).isEmpty())
+                .forEach(this::answerNow);
+    }
+
+    private List<ObjectNode> changes(WaitingQuestion question) {
+        return history.stream()
+                .filter(row -> row.path("table").asText().equals(question.table()))
+                .filter(row -> row.path("ver").asLong() > question.after())
+                .toList();
     }
 
     private ObjectNode answer(List<ObjectNode> found) {
@@ -191,6 +254,8 @@
 
     @Override
     public void close() throws Exception {
+        timer.shutdownNow();
+        answerAll();
         server.stop();
     }
 }
