--- /dev/null
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakFault.java
@@ -0,0 +1,7 @@
+package org.wigeonferry.command_line.soak;
+
+/** Begins a fault. */
+@FunctionalInterface
+interface SoakFault {
+    void begin();
+}
--- /dev/null
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakTest.java
@@ -0,0 +1,30 @@
+package org.wigeonferry.command_line.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Plays seeds of the soak: those that once failed, and as many more as are asked for. */
+class SoakTest {
+    private static final long DISTURBED_MILLIS = Long.getLong("soak.millis", 12_000);
+
+    /** Seeds that failed once, each with its cause in docs/PROOFS.md. */
+    private static final long[] REGRESSIONS = {};
+
+    static LongStream seeds() {
+        long first = Long.getLong("soak.first", 1);
+        long count = Long.getLong("soak.count", 1);
+        return LongStream.concat(
+                LongStream.of(REGRESSIONS), LongStream.range(first, first + count));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void keepsEveryPromise(long seed) throws Exception {
+        try (SoakRun run = new SoakRun(seed)) {
+            assertThat(run.play(DISTURBED_MILLIS)).isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/package-info.java
@@ -0,0 +1,2 @@
+/** A fault soak of the platform's router: real processes, stand-ins, faulty links and clients. */
+package org.wigeonferry.command_line.soak;
