--- a/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
@@ -105,7 +105,12 @@
                 show("upstreams", "Shows the upstreams."),
                 show("bills", "Shows bills."),
                 show("notes", "Shows committed release notes: who, when and why."),
-                show("starts", "Shows calls that may not be repeated, unknown outcomes too."));
+                show("starts", "Shows calls that may not be repeated, unknown outcomes too."),
+                new CommandEntry(
+                        "explain",
+                        "ID LOG...",
+                        "Tells from routers' logs why a request ended as it did.",
+                        ExplainCommand.run()));
     }
 
     private static List<CommandEntry> demo() {
--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakFaults.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakFaults.java
@@ -169,7 +169,7 @@
             return;
         }
         if (random.nextBoolean()) {
-            rows.upstream(upstream, links.get(index), SoakRun.service(index), true);
+            register(index, true);
         } else {
             rows.upstreamGone(upstream.id());
         }
@@ -181,7 +181,15 @@
         SoakUpstream upstream = upstreams.get(index);
         rows.upstreamGone(upstream.id());
         upstream.become(next);
-        rows.upstream(upstream, links.get(index), SoakRun.service(index), false);
+        register(index, false);
+    }
+
+    private void register(int index, boolean leaving) {
+        rows.upstream(
+                upstreams.get(index).id(),
+                links.get(index).address(),
+                SoakRun.service(index),
+                leaving);
     }
 
     private void disturbAll() {
--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakRun.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakRun.java
@@ -53,7 +53,7 @@
             SoakUpstream upstream = new SoakUpstream("i-" + i, history, new Random(seed + i));
             upstreams.add(upstream);
             links.add(new FaultyLink(upstream.address()));
-            rows.upstream(upstream, links.get(i), service(i), false);
+            rows.upstream(upstream.id(), links.get(i).address(), service(i), false);
         }
         rows.configure("steady", "doomed");
         for (int i = 0; i < ROUTERS; i++) {
--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakStore.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakStore.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.platform_clients.JsonCalls;
 import org.wigeonferry.stand_ins.StoreStandIn;
 
@@ -51,11 +52,9 @@
         history.revoked(key);
     }
 
-    synchronized void upstream(
-            SoakUpstream upstream, FaultyLink link, String service, boolean leaving) {
-        String id = upstream.id();
+    synchronized void upstream(String id, HostAddress address, String service, boolean leaving) {
         ObjectNode entry = JsonCalls.object().put("service", service);
-        entry.put("address", link.address().toString()).put("zone", "z").put("version", "v1");
+        entry.put("address", address.toString()).put("zone", "z").put("version", "v1");
         entry.put("slots", 8).put("state", leaving ? "draining" : "ready").put("born", 1);
         store.put("servers", id, entry.toString());
         if (leaving) {
