--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakFaults.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakFaults.java
@@ -3,12 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.wigeonferry.core_types.StepException;
 import org.wigeonferry.stand_ins.StoreStandIn;
 
@@ -18,8 +17,6 @@
  * <p>Used by one thread; what takes time runs on others, one for each router.
  */
 final class SoakFaults {
-    private static final Logger LOG = LoggerFactory.getLogger(SoakFaults.class);
-
     /** A fault counts as a disturbance for so long after its end, until all has caught up. */
     private static final long CATCH_UP_MILLIS = 3000;
 
@@ -38,6 +35,7 @@
     private final List<ExecutorService> hands = new ArrayList<>();
     private final ScheduledExecutorService operator = Executors.newScheduledThreadPool(1);
     private final List<SoakFault> kinds;
+    private final List<String> failed = new CopyOnWriteArrayList<>();
     private boolean revoked;
     private int done;
 
@@ -85,6 +83,11 @@
         return done;
     }
 
+    /** Faults whose processes did not do what they were told, such as to start. */
+    List<String> failed() {
+        return List.copyOf(failed);
+    }
+
     /** Ends all faults; routers that are down are up again after it. */
     void healAll() throws InterruptedException {
         for (ExecutorService hand : hands) {
@@ -225,7 +228,7 @@
                             try {
                                 fault.play(routers.get(index));
                             } catch (StepException e) {
-                                LOG.error("fault could not be played", e);
+                                failed.add("fault could not be played: " + e);
                             } catch (InterruptedException e) {
                                 Thread.currentThread().interrupt();
                             }
--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakRun.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakRun.java
@@ -72,7 +72,8 @@
         Thread.sleep(SETTLE_MILLIS);
         loaded = false;
         load.join();
-        List<String> breaches = new ArrayList<>(servedAfter());
+        List<String> breaches = new ArrayList<>(faults.failed());
+        breaches.addAll(servedAfter());
         callers.shutdown();
         callers.awaitTermination(20, TimeUnit.SECONDS);
         SoakChecks.all()
