Refuse no content as poison that was answered a while ago

Requests without a body share a content in real life too. Change: a content that was answered whole within 20 s is not counted and not refused; a poison is never answered. Only whole answers clear: before, a refusal as not run, a silence or a doubted head did too.

--- a/routing/src/main/java/org/wigeonferry/routing/Outcome.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Outcome.java
@@ -38,6 +38,11 @@
         return provedNotRun;
     }
 
+    /** Whether the upstream lived to the end of its answer. */
+    public boolean whole() {
+        return this == ANSWERED || this == FAILED;
+    }
+
     /** Whether it speaks against the upstream. */
     public boolean bad() {
         return bad;
--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -10,8 +10,9 @@
  * between, here and at the other entries.
  *
  * <p>A refused content may be tried once more after a while, and after twice that while once more,
- * since a connection can break for other reasons. Invariant: at most {@link #MAX} contents, the
- * oldest leave first. Owned by the control thread.
+ * since a connection can break for other reasons. A content that was answered a while ago is not
+ * counted. Invariant: at most {@link #MAX} contents, the oldest leave first. Owned by the control
+ * thread.
  */
 public final class PoisonRegister {
     /** Most contents that are remembered. */
@@ -23,17 +24,21 @@
     /** Most contents that the other entries are told of. */
     private static final int MAX_TOLD = 24;
 
+    /** How long an answer shows that breaks had another cause: a poison is never answered. */
+    private static final Duration CLEARED = Duration.ofSeconds(20);
+
     private static final Duration FIRST_REFUSAL = Duration.ofSeconds(20);
     private static final int MAX_DOUBLINGS = 3;
 
     private final Map<String, BreakCount> own = new LinkedHashMap<>();
     private final Map<String, Map<String, Integer>> foreign = new HashMap<>();
+    private final Map<String, Long> answered = new LinkedHashMap<>();
     private final Map<String, Integer> forgiven = new HashMap<>();
     private final Map<String, Long> told = new HashMap<>();
 
     boolean refused(String content, long now) {
         int count = total(content);
-        if (count < BREAKS) {
+        if (count < BREAKS || answered(content, now)) {
             return false;
         }
         long pause = FIRST_REFUSAL.toNanos() << Math.min(count - BREAKS, MAX_DOUBLINGS);
@@ -42,6 +47,9 @@
 
     /** Notes a break; true if the content is refused from now on. */
     boolean onBreak(String content, Incarnation at, long now) {
+        if (answered(content, now)) {
+            return false;
+        }
         BreakCount before = own.remove(content);
         own.put(content, before == null ? BreakCount.first(at, now) : before.then(at, now));
         if (own.size() > MAX) {
@@ -51,8 +59,9 @@
     }
 
     /** Notes an answer: the content is no poison, whatever other entries counted before it. */
-    void onAnswer(String content) {
+    void onAnswer(String content, long now) {
         own.remove(content);
+        noteAnswered(content, now);
         int counted = foreign(content);
         if (counted > 0) {
             forgiven.put(content, counted);
@@ -86,6 +95,19 @@
         }
     }
 
+    private void noteAnswered(String content, long now) {
+        answered.remove(content);
+        answered.put(content, now);
+        if (answered.size() > MAX) {
+            answered.remove(answered.keySet().iterator().next());
+        }
+    }
+
+    private boolean answered(String content, long now) {
+        Long at = answered.get(content);
+        return at != null && now - at < CLEARED.toNanos();
+    }
+
     private int total(String content) {
         BreakCount here = own.get(content);
         int count = here == null ? 0 : here.count();
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -217,8 +217,8 @@
             upstreams.remove(send.upstream().id(), now);
         }
         rollOuts.onEnd(report, job, now);
-        if (report.headSeen() && report.outcome() != Outcome.BROKEN) {
-            poison.onAnswer(content);
+        if (report.outcome().whole()) {
+            poison.onAnswer(content, now);
         }
         return report.outcome() == Outcome.BROKEN
                 && !report.headSeen()
--- a/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
@@ -152,6 +152,20 @@
                 .isEqualTo(new Refused(RefusalCause.POISON));
     }
 
+    @Test
+    void refusalBetweenBreaksClearsNothing() {
+        look("a");
+        look("b");
+        state.upstreams().put(RoutingFixtures.upstream("c", "desk"), NOW);
+        Job job = RoutingFixtures.admitted(state, RoutingFixtures.request("look"), NOW);
+        Send send = (Send) RoutingFixtures.place(state, job, NOW);
+        state.ended(job, "content", RoutingFixtures.report(send, Outcome.NOT_RUN), NOW);
+        look("d");
+        Job next = RoutingFixtures.admitted(state, RoutingFixtures.request("look"), NOW);
+        assertThat(RoutingFixtures.place(state, next, NOW))
+                .isEqualTo(new Refused(RefusalCause.POISON));
+    }
+
     @Test
     void contentThatIsAnsweredBetweenBreaksIsNotRefused() {
         look("a");
