--- a/entry/src/main/java/org/wigeonferry/entry/BillSecuring.java
+++ b/entry/src/main/java/org/wigeonferry/entry/BillSecuring.java
@@ -69,12 +69,19 @@
             return;
         }
         tried.add(peer.get().node());
-        peers.hold(peer.get(), List.of(bill), holdTimeout)
+        peers.hold(peer.get(), List.of(bill), timeout())
                 .whenComplete(
                         (held, failure) ->
                                 control.run(() -> onReply(peer.get(), failure == null && held)));
     }
 
+    /** Grows from round to round, but not past the end, at which a last short try is left. */
+    private Duration timeout() {
+        Duration left = Duration.ofNanos(endNanos - control.nanoTime());
+        Duration longest = left.compareTo(FIRST_HOLD_TIMEOUT) > 0 ? left : FIRST_HOLD_TIMEOUT;
+        return holdTimeout.compareTo(longest) < 0 ? holdTimeout : longest;
+    }
+
     private void onReply(Peer peer, boolean held) {
         if (!held) {
             nextPeer();
--- a/entry/src/test/java/org/wigeonferry/entry/BillSecuringTest.java
+++ b/entry/src/test/java/org/wigeonferry/entry/BillSecuringTest.java
@@ -82,6 +82,13 @@
         assertThat(secured).isCompletedWithValue(false);
     }
 
+    @Test
+    void growingTimeoutsDoNotOutlastTheDeadline() {
+        CompletableFuture<Boolean> secured = secure(DEADLINE, answerAfter(Duration.ofHours(1)));
+        time.run(DEADLINE.plusSeconds(2));
+        assertThat(secured).isCompletedWithValue(false);
+    }
+
     @Test
     void oneRoundIsMadeThoughTheDeadlineIsOver() {
         CompletableFuture<Boolean> secured =
