Split cold upstreams' rates exactly between many routers; ask the store less often

Change: LiveEntries divides what all may do by the names of the live routers; the remainder goes to the first of an order that all compute alike for the upstream.

Cause of the open finding on the grace for lapsed entries: it counted from the last answer, which may be 3 s old when a connection breaks. Change: it counts from the failure, or from the question if that ran out of time.

--- a/router/src/main/java/org/wigeonferry/router/Membership.java
+++ b/router/src/main/java/org/wigeonferry/router/Membership.java
@@ -3,9 +3,10 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import org.wigeonferry.routing.LiveEntries;
 
 /**
- * Counts the entries that live, by the notes that change.
+ * Knows the entries that live, by the notes that change.
  *
  * <p>Invariant: the count is never below the highest of the last while, so that shares of a common
  * limit are never too large just because somebody is out of sight. Owned by the control thread.
@@ -14,13 +15,15 @@
     /** Time in which entries that started together have published and read their first notes. */
     private static final Duration SETTLING = Duration.ofSeconds(6);
 
+    private final String own;
     private final long lifeNanos;
     private final int leastUntilKnown;
     private final Map<String, Long> seen = new HashMap<>();
     private boolean known;
     private long knownSinceNanos;
 
-    Membership(Duration life, int leastUntilKnown) {
+    Membership(String own, Duration life, int leastUntilKnown) {
+        this.own = own;
         lifeNanos = life.toNanos();
         this.leastUntilKnown = leastUntilKnown;
     }
@@ -37,14 +40,12 @@
         }
     }
 
-    /**
-     * Forgets entries that are silent while the store answers; returns the number of the others.
-     */
-    int count(long now, boolean storeAnswers) {
+    /** Forgets entries that are silent while the store answers; returns the others. */
+    LiveEntries live(long now, boolean storeAnswers) {
         if (storeAnswers) {
             seen.values().removeIf(at -> now - at > lifeNanos);
         }
         boolean settled = known && now - knownSinceNanos >= SETTLING.toNanos();
-        return settled ? Math.max(1, seen.size()) : Math.max(leastUntilKnown, seen.size());
+        return new LiveEntries(own, seen.keySet(), settled ? 1 : leastUntilKnown);
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -1,12 +1,15 @@
 package org.wigeonferry.router;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonferry.node_runtime.Control;
+import org.wigeonferry.routing.ReleaseEvidence;
 import org.wigeonferry.routing.RollOut;
+import org.wigeonferry.routing.RollOutEvidence;
 import org.wigeonferry.routing.RollOutState;
 import org.wigeonferry.routing.RollOutStatus;
 import org.wigeonferry.routing.RoutingConfig;
@@ -30,9 +33,10 @@
 
     private static final Duration LOOK = Duration.ofMillis(500);
 
-    /** Looks between notes while nothing is rolled out, and while something is. */
+    /** Looks between notes without news. */
     private static final int CALM_LOOKS = 12;
 
+    /** Least looks between notes with news of a roll-out. */
     private static final int BUSY_LOOKS = 2;
 
     private static final Logger LOG = LoggerFactory.getLogger("control");
@@ -42,13 +46,14 @@
     private final RoutingState state;
     private final NotePublisher notes;
     private final RollOutReporter rollOuts;
-    private final Membership membership = new Membership(ENTRY_LIFE, ENTRIES_UNTIL_KNOWN);
+    private final Membership membership;
     private boolean storeAnswers;
-    private Optional<Long> answeredNanos = Optional.empty();
+    private Optional<Long> unansweredSinceNanos = Optional.empty();
     private boolean upstreamsKnown;
     private long beat;
     private int looks;
-    private Map<String, Integer> told = Map.of();
+    private Map<String, Integer> toldSuspects = Map.of();
+    private Map<String, ReleaseEvidence> toldReleases = Map.of();
 
     /** Connects the state of the entry of this name with those who publish for it. */
     public RouterControl(
@@ -62,6 +67,7 @@
         this.state = state;
         this.notes = notes;
         this.rollOuts = rollOuts;
+        membership = new Membership(name, ENTRY_LIFE, ENTRIES_UNTIL_KNOWN);
     }
 
     /** Begins to look at roll-outs and to publish notes. */
@@ -81,42 +87,39 @@
         }
     }
 
-    /** Takes the moment at which a question was asked that has been answered by now. */
-    public void confirmed(long askedNanos, long askedWallMillis) {
-        state.freshness().confirmed(askedNanos, askedWallMillis);
+    /** Takes a moment at which the configuration known by now was the newest. */
+    public void confirmed(long asOfNanos, long asOfWallMillis) {
+        state.freshness().confirmed(asOfNanos, asOfWallMillis);
     }
 
-    /** Takes whether the store answers. */
-    public void store(boolean answers) {
-        if (!answers) {
-            lost();
+    /** Takes that the store answered. */
+    public void storeAnswered() {
+        if (storeAnswers) {
             return;
         }
+        storeAnswers = true;
         long now = control.nanoTime();
-        if (!storeAnswers) {
-            storeAnswers = true;
-            returned(now);
-        }
-        answeredNanos = Optional.of(now);
-    }
-
-    private void lost() {
-        if (storeAnswers) {
-            storeAnswers = false;
-            LOG.warn("store does not answer");
-        }
-    }
-
-    /** Entries lapse in a long outage only: not at a start, nor when a connection breaks. */
-    private void returned(long now) {
+        // Entries lapse in a long outage only: not at a start, nor when a connection breaks.
         boolean outage =
-                answeredNanos.filter(last -> now - last >= LEAST_OUTAGE.toNanos()).isPresent();
+                unansweredSinceNanos
+                        .filter(since -> now - since >= LEAST_OUTAGE.toNanos())
+                        .isPresent();
         if (outage) {
             state.upstreams().storeReturned(now);
         }
         LOG.atInfo().addKeyValue("outage", outage).log("store answers");
     }
 
+    /** Takes that the store answered no call since a moment. */
+    public void storeUnanswered(long sinceNanos) {
+        if (!storeAnswers) {
+            return;
+        }
+        storeAnswers = false;
+        unansweredSinceNanos = Optional.of(sinceNanos);
+        LOG.warn("store does not answer");
+    }
+
     /** Takes an upstream's description. */
     public void upstream(Upstream upstream) {
         Optional<Upstream> before = state.upstreams().upstream(upstream.id());
@@ -202,7 +205,7 @@
     private void look() {
         long now = control.nanoTime();
         state.upstreams().expire(now);
-        state.entries(membership.count(now, storeAnswers));
+        state.entries(membership.live(now, storeAnswers));
         if (!storeAnswers) {
             return;
         }
@@ -214,15 +217,32 @@
 
     /** The first look tells the others of this entry; later ones keep it in their minds. */
     private void publishIfDue() {
-        boolean due = looks % (rollingOut() ? BUSY_LOOKS : CALM_LOOKS) == 0;
-        looks++;
         Map<String, Integer> suspects = state.poison().suspects();
-        boolean alarm = !suspects.equals(told) && suspects.values().stream().anyMatch(c -> c > 1);
-        if (alarm || due) {
-            told = suspects;
-            beat++;
-            notes.publish(new EntryNote(beat, state.rollOuts().evidence(), suspects));
+        Map<String, ReleaseEvidence> releases = unprovedReleases();
+        boolean alarm =
+                !suspects.equals(toldSuspects) && suspects.values().stream().anyMatch(c -> c > 1);
+        boolean news = looks % BUSY_LOOKS == 0 && !releases.equals(toldReleases);
+        boolean due = looks % CALM_LOOKS == 0;
+        looks++;
+        if (!alarm && !news && !due) {
+            return;
+        }
+        toldSuspects = suspects;
+        toldReleases = releases;
+        beat++;
+        notes.publish(new EntryNote(beat, state.rollOuts().evidence(), suspects));
+    }
+
+    /** What this entry saw of releases that are being rolled out, by service. */
+    private Map<String, ReleaseEvidence> unprovedReleases() {
+        Map<String, ReleaseEvidence> seen = new HashMap<>();
+        Map<String, RollOutEvidence> evidence = state.rollOuts().evidence();
+        for (RollOut order : state.rollOuts().orders()) {
+            if (!over(order)) {
+                seen.put(order.service(), evidence.get(order.service()).fresh());
+            }
         }
+        return seen;
     }
 
     /** Whether a roll-out is under way. */
--- a/routing/src/main/java/org/wigeonferry/routing/Freshness.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Freshness.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * Knows when the configuration was last confirmed, by the moment at which the question was asked.
+ * Knows the last moment at which the known configuration was surely the newest one.
  *
  * <p>The steady clock stands still while a machine is suspended, and the time of day may jump; a
  * gap between the two makes the process stale until a question asked after it is answered. Owned by
@@ -13,8 +13,8 @@
     private final Duration bound;
     private final Duration clockGap;
     private boolean known;
-    private long askedNanos;
-    private long askedWallMillis;
+    private long asOfNanos;
+    private long asOfWallMillis;
 
     /** Stale after {@code bound}, or once the clocks differ by more than {@code clockGap}. */
     public Freshness(Duration bound, Duration clockGap) {
@@ -22,26 +22,26 @@
         this.clockGap = clockGap;
     }
 
-    /** Notes an answer to a question asked at this moment. */
+    /** Notes that the known configuration was the newest one at a moment. */
     public void confirmed(long nanos, long wallMillis) {
-        if (known && nanos - askedNanos < 0) {
+        if (known && nanos - asOfNanos < 0) {
             return;
         }
         known = true;
-        askedNanos = nanos;
-        askedWallMillis = wallMillis;
+        asOfNanos = nanos;
+        asOfWallMillis = wallMillis;
     }
 
     /** Whether the clocks disagree on the time since the last confirmation. */
     public boolean clocksDisagree(long nanos, long wallMillis) {
-        long steady = (nanos - askedNanos) / 1_000_000;
-        long wall = wallMillis - askedWallMillis;
+        long steady = (nanos - asOfNanos) / 1_000_000;
+        long wall = wallMillis - asOfWallMillis;
         return known && Math.abs(wall - steady) > clockGap.toMillis();
     }
 
-    /** Time since the last confirmed question. */
+    /** Time since that moment. */
     public Duration age(long nanos) {
-        return known ? Duration.ofNanos(nanos - askedNanos) : Duration.ofDays(1);
+        return known ? Duration.ofNanos(nanos - asOfNanos) : Duration.ofDays(1);
     }
 
     /** Whether keyed requests may still be sent. */
--- a/routing/src/main/java/org/wigeonferry/routing/Hashes.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Hashes.java
@@ -8,6 +8,11 @@
 final class Hashes {
     private Hashes() {}
 
+    /** Draws from 0 to 1 for a text. */
+    static double fraction(String text) {
+        return (spread(text.hashCode()) >>> 1) / (double) Integer.MAX_VALUE;
+    }
+
     /** Spreads a hash over all bits. */
     static int spread(int hash) {
         int mixed = (hash ^ (hash >>> 16)) * 0x7feb352d;
--- a/routing/src/main/java/org/wigeonferry/routing/Placer.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Placer.java
@@ -72,8 +72,7 @@
             return 0;
         }
         PromptPart shared = parts.get(parts.size() - 2);
-        int hash = (shared.id() + '@' + state.description().id()).hashCode();
-        double draw = (Hashes.spread(hash) >>> 1) / (double) Integer.MAX_VALUE;
+        double draw = Hashes.fraction(shared.id() + '@' + state.description().id());
         return draw * shared.tokens() * model.map(state::workShare).orElse(1.0) / 2;
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
@@ -203,8 +203,7 @@
             return false;
         }
         String name = job.session().orElse(job.request().id());
-        int hash = Hashes.spread((name + '#' + order.revision()).hashCode());
-        return (hash >>> 1) / (double) Integer.MAX_VALUE < DRAWN_PART * exposureShare;
+        return Hashes.fraction(name + '#' + order.revision()) < DRAWN_PART * exposureShare;
     }
 
     private boolean mayGrow(RollOut order, long now) {
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -28,12 +28,12 @@
     private final Map<String, ServiceState> services = new HashMap<>();
     private final PoisonRegister poison = new PoisonRegister();
     private Optional<RoutingConfig> config = Optional.empty();
-    private int entries;
+    private LiveEntries entries;
 
     /**
      * Starts without beliefs.
      *
-     * @param entries how many entries to reckon with until their number is known
+     * @param entries the entries to reckon with until more is known
      */
     public RoutingState(
             String zone,
@@ -41,7 +41,7 @@
             Freshness freshness,
             ModelChoice modelChoice,
             DoubleSupplier draw,
-            int entries) {
+            LiveEntries entries) {
         this.limits = limits;
         this.freshness = freshness;
         this.modelChoice = modelChoice;
@@ -102,9 +102,9 @@
         return Set.copyOf(closedZones);
     }
 
-    /** Takes the number of live entries. */
-    public void entries(int count) {
-        entries = Math.max(1, count);
+    /** Takes the live entries. */
+    public void entries(LiveEntries live) {
+        entries = live;
     }
 
     /** Decides whether a request is served. */
@@ -146,7 +146,8 @@
         }
         ModelStep model =
                 modelChoice.choose(
-                        job, service(job.service()).mayBetter(Placer.rank(job), now, entries));
+                        job,
+                        service(job.service()).mayBetter(Placer.rank(job), now, entries.count()));
         UpstreamRule rule = rule();
         Optional<UpstreamState> chosen =
                 rollOuts.rules(job, now).stream()
@@ -156,7 +157,7 @@
         if (chosen.isEmpty()) {
             return refusedAfter(job, RefusalCause.NO_UPSTREAM);
         }
-        if (job.sentBefore() && !service(job.service()).budget().tryRepeat(now, entries)) {
+        if (job.sentBefore() && !service(job.service()).budget().tryRepeat(now, entries.count())) {
             return refusedAfter(job, RefusalCause.OVERLOADED);
         }
         Send send = Placer.send(chosen.get(), job, model, now);
@@ -181,7 +182,7 @@
                                 .orElse(true);
         UpstreamRule elsewhere = rule();
         return lost
-                && service(job.service()).budget().roomy(now, entries)
+                && service(job.service()).budget().roomy(now, entries.count())
                 && upstreams.states().stream()
                         .anyMatch(s -> !s.suspended(now) && elsewhere.allows(s, job, now));
     }
@@ -264,14 +265,14 @@
                 .and(UpstreamRules.bearing(this::coldPerSecond));
     }
 
-    private double coldPerSecond(String service) {
+    private int coldPerSecond(Upstream upstream) {
         double rate =
-                config.flatMap(c -> c.service(service))
+                config.flatMap(c -> c.service(upstream.service()))
                         .map(ServiceTraits::coldPerSecond)
                         .orElse(0.0);
         return rate <= 0
-                ? Double.POSITIVE_INFINITY
-                : (rate * limits.coldOverage() + limits.coldExtra()) / entries;
+                ? Integer.MAX_VALUE
+                : entries.part(rate * limits.coldOverage() + limits.coldExtra(), upstream.id());
     }
 
     private void started(Send send, UpstreamState state, Job job, long now) {
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamRules.java
@@ -1,7 +1,7 @@
 package org.wigeonferry.routing;
 
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
+import java.util.function.ToIntFunction;
 
 /**
  * The rules that hold for every send, one predicate each.
@@ -28,14 +28,14 @@
     }
 
     /**
-     * A cold upstream gets no more in a second than it bears, but one at least.
+     * A cold upstream gets no more in a second than it bears.
      *
-     * @param perSecond this entry's part of what a cold upstream of a service bears
+     * @param perSecond this entry's part of what an upstream bears while it is cold
      */
-    static UpstreamRule bearing(ToDoubleFunction<String> perSecond) {
+    static UpstreamRule bearing(ToIntFunction<Upstream> perSecond) {
         return (upstream, job, now) ->
                 !upstream.cold(now)
                         || upstream.sentLastSecond(now)
-                                < Math.max(1, Math.floor(perSecond.applyAsDouble(job.service())));
+                                < perSecond.applyAsInt(upstream.description());
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -69,10 +69,6 @@
         }
     }
 
-    void coldUntil(long nanos) {
-        coldUntilNanos = nanos;
-    }
-
     boolean cold(long now) {
         return coldUntilNanos - now > 0;
     }
