Rehearse the whole way of a request when the class archive is made

Cause: the archive held what a start and a refused request load; the first served request after a restart loaded and verified some 200 classes more from jars. Change: the build's warm-up runs the router command before stand-ins of the store and an upstream and serves three requests, one of them bettered by the large model; it fails the build if one is not served.

--- a/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
@@ -33,7 +33,7 @@
                 new CommandEntry(
                         "warm-up",
                         "",
-                        "Loads what a router needs and ends; for the build.",
+                        "Runs a router before stand-ins, once; for the build.",
                         WarmUpCommand.run()),
                 new CommandEntry(
                         "stand-in",
--- a/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
@@ -3,75 +3,128 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.core_types.StepException;
 import org.wigeonferry.node_runtime.LoggingSetup;
-import org.wigeonferry.platform.PlatformKeys;
-import org.wigeonferry.platform.PlatformRouter;
-import org.wigeonferry.settings.Settings;
-import org.wigeonferry.settings.SettingsReader;
+import org.wigeonferry.platform.Rehearsal;
+import org.wigeonferry.stand_ins.ScriptedUpstream;
+import org.wigeonferry.stand_ins.StoreStandIn;
 
 /**
- * Starts a router without a store, asks it once and ends.
+ * Runs a router before stand-ins, has it serve a few requests and stops it.
  *
- * <p>The build runs it to write an archive of the classes that a start loads. Stateless and thread
- * safe.
+ * <p>The build runs it to write an archive of the classes that a router loads from its start to its
+ * stop. Ends the process. Stateless and thread safe.
  */
 final class WarmUpCommand {
-    /** Time in which timers and first failures of the store load their classes. */
-    private static final Duration RUN = Duration.ofMillis(1500);
+    private static final String LOOPBACK = "127.0.0.1";
+
+    /** Time in which timers load their classes. */
+    private static final Duration TIMERS = Duration.ofMillis(1200);
+
+    private static final int TRIES = 100;
+    private static final Duration BETWEEN_TRIES = Duration.ofMillis(50);
 
     private WarmUpCommand() {}
 
     static Command run() {
         return arguments -> {
-            LongSupplier dropped = LoggingSetup.structured();
-            int callers = freePort();
-            Settings settings = SettingsReader.parse("warm-up", text(callers), PlatformKeys.all());
-            PlatformRouter router = new PlatformRouter(settings, dropped);
-            ask(callers);
-            new CompletableFuture<Void>()
-                    .completeOnTimeout(null, RUN.toMillis(), TimeUnit.MILLISECONDS)
-                    .join();
-            router.stop();
-            return ExitCodes.OK;
+            try {
+                return rehearsed();
+            } catch (IOException e) {
+                throw new StepException("warm up", LOOPBACK, e);
+            }
         };
     }
 
-    private static String text(int callers) throws StepException {
-        return String.format(
-                "[node]%nname=warm-up%navailability-zone=none%n"
-                        + "[listen]%ncallers=127.0.0.1:%d%nready=127.0.0.1:%d%nmetrics=127.0.0.1:%d%n"
-                        + "[store]%naddress=127.0.0.1:%d%n",
-                callers, freePort(), freePort(), freePort());
+    private static int rehearsed() throws StepException, IOException {
+        LoggingSetup.apply(false);
+        StoreStandIn store = new StoreStandIn();
+        ScriptedUpstream upstream = new ScriptedUpstream(WarmUpCommand::answer);
+        Rehearsal.fill(store::put, new HostAddress(LOOPBACK, upstream.port()));
+        int callers = freePort();
+        int ready = freePort();
+        Path settings = settings(callers, ready, store.address());
+        CompletableFuture.runAsync(() -> rehearse(callers, ready));
+        return DaemonCommands.router().run(new String[] {"--config", settings.toString()});
+    }
+
+    private static void answer(String head, Socket socket) throws IOException {
+        socket.getOutputStream().write(Rehearsal.answer(head).getBytes(StandardCharsets.UTF_8));
     }
 
-    private static void ask(int port) throws StepException {
-        HttpRequest request =
-                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/"))
-                        .POST(HttpRequest.BodyPublishers.ofString("{}"))
-                        .build();
+    /** Ends the process: with a failure if a request was not served. */
+    private static void rehearse(int callers, int ready) {
+        int failures = 0;
         try {
-            HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+            awaitReady(ready);
+            for (String request : Rehearsal.requests()) {
+                boolean served = ask(callers, request).contains(" 200 ");
+                failures += served ? 0 : 1;
+            }
+            pause(TIMERS);
         } catch (IOException e) {
-            throw new StepException("ask", "127.0.0.1:" + port, e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            System.err.println("warm-up failed: " + e);
+            failures++;
+        }
+        System.exit(failures == 0 ? ExitCodes.OK : ExitCodes.FAILED);
+    }
+
+    private static void awaitReady(int port) throws IOException {
+        for (int i = 0; i < TRIES; i++) {
+            pause(BETWEEN_TRIES);
+            try {
+                if (ask(port, "GET /api/ready HTTP/1.0\r\n\r\n").contains(" 200 ")) {
+                    return;
+                }
+            } catch (IOException e) {
+                if (i == TRIES - 1) {
+                    throw e;
+                }
+            }
         }
+        throw new IOException("router not ready");
+    }
+
+    private static String ask(int port, String request) throws IOException {
+        try (Socket socket = new Socket(LOOPBACK, port)) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static void pause(Duration time) {
+        new CompletableFuture<Void>()
+                .completeOnTimeout(null, time.toMillis(), TimeUnit.MILLISECONDS)
+                .join();
+    }
+
+    private static Path settings(int callers, int ready, HostAddress store)
+            throws StepException, IOException {
+        String text =
+                String.format(
+                        "[node]%nname=warm-up%navailability-zone=z%n"
+                                + "[listen]%ncallers=127.0.0.1:%d%nready=127.0.0.1:%d%n"
+                                + "metrics=127.0.0.1:%d%n[store]%naddress=%s%n"
+                                + "[limits]%nretry-extra=50%n",
+                        callers, ready, freePort(), store);
+        Path file = Files.createTempFile("warm-up", ".ini");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, text);
     }
 
     private static int freePort() throws StepException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         } catch (IOException e) {
-            throw new StepException("find a free port", "127.0.0.1", e);
+            throw new StepException("find a free port", LOOPBACK, e);
         }
     }
 }
