Give large and small models engines of their own

Cause: an engine makes a token for all its requests in one step, which takes as long as the dearest model among them needs, and a prompt of a large model delays all others. Ruled out: too many requests an engine (some five run at once). Change: EngineShares divides the engines of a zone and release by a hash of their ids, seven in ten for large models; a placement that mixes costs 5,000 prompt tokens, so it happens when the others are busy. Also: upstreams that were read before the configuration kept default traits for good (found by the test upstreamsThatWereKnownBeforeTheConfiguration...); they get the real ones with each configuration.

--- a/routing/src/main/java/org/wigeonferry/routing/EngineTraits.java
+++ b/routing/src/main/java/org/wigeonferry/routing/EngineTraits.java
@@ -12,10 +12,18 @@
  * @param modelCosts cost per 1,000 generated tokens, by model
  */
 public record EngineTraits(int slots, int capacityTokens, Map<String, Double> modelCosts) {
+    /** Models that cost at least this part of the dearest one are large. */
+    static final double LARGE_WORK = 0.5;
+
     public EngineTraits {
         modelCosts = Map.copyOf(modelCosts);
     }
 
+    /** Whether some models are large and others small. */
+    boolean bothKinds() {
+        return modelCosts.keySet().stream().anyMatch(model -> workShare(model) < LARGE_WORK);
+    }
+
     /** Work that a token is for a model, as a share of the dearest model's, judged by cost. */
     public double workShare(String model) {
         double dearest = modelCosts.values().stream().mapToDouble(cost -> cost).max().orElse(0);
--- a/routing/src/main/java/org/wigeonferry/routing/Placer.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Placer.java
@@ -21,6 +21,9 @@
     /** Cost of a failed answer, in prompt tokens. */
     private static final double FAILURE_TOKENS = 30_000;
 
+    /** Cost of running small and large models beside each other, in prompt tokens. */
+    private static final double MIXING_TOKENS = 5_000;
+
     /** Shares of failures below this are normal. */
     private static final double NORMAL_FAILURES = 0.25;
 
@@ -61,6 +64,9 @@
         if (!state.description().zone().equals(zone)) {
             work += ZONE_TOKENS;
         }
+        if (model.filter(name -> directory.engineShares().mixes(state, name)).isPresent()) {
+            work += MIXING_TOKENS;
+        }
         work += FAILURE_TOKENS * Math.max(0, state.failures() - NORMAL_FAILURES);
         return work;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/PromptMemory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PromptMemory.java
@@ -11,7 +11,7 @@
  * Owned by the control thread.
  */
 final class PromptMemory {
-    private final int capacityTokens;
+    private int capacityTokens;
     private final Map<String, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
     private long tokens;
 
@@ -19,6 +19,11 @@
         this.capacityTokens = capacityTokens;
     }
 
+    /** Changes the capacity; what is held beyond it leaves when the next prompt is read. */
+    void capacity(int value) {
+        capacityTokens = value;
+    }
+
     /** Tokens of the leading parts that are held for a model. */
     int held(String model, List<PromptPart> prompt) {
         int held = 0;
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -85,6 +85,7 @@
             return false;
         }
         config = Optional.of(next);
+        upstreams.reconfigured();
         return true;
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -20,6 +20,8 @@
     private final Function<String, Optional<ServiceTraits>> traits;
     private final Map<String, UpstreamState> states = new HashMap<>();
     private final Map<String, Long> lapsing = new HashMap<>();
+    private final EngineShares engineShares = new EngineShares();
+    private boolean divided;
     private long graceUntilNanos;
     private boolean inGrace;
 
@@ -34,14 +36,22 @@
         graceUntilNanos = now + lapseGrace.toNanos();
     }
 
+    /** Takes a change of what is known of the services. */
+    void reconfigured() {
+        states.values().forEach(state -> state.engine(engine(state.description())));
+        divided = false;
+    }
+
     /** Takes an upstream's description. */
     public void put(Upstream upstream, long now) {
         UpstreamState state = states.get(upstream.id());
         lapsing.remove(upstream.id());
         if (state == null || !state.description().incarnation().equals(upstream.incarnation())) {
             states.put(upstream.id(), fresh(upstream, now));
+            divided = false;
             return;
         }
+        divided &= state.description().leaving() == upstream.leaving();
         state.describe(upstream, now);
     }
 
@@ -52,6 +62,7 @@
             return;
         }
         states.remove(id);
+        divided = false;
     }
 
     /** Drops upstreams whose grace is over. */
@@ -62,6 +73,7 @@
                             boolean over = entry.getValue() - now <= 0;
                             if (over) {
                                 states.remove(entry.getKey());
+                                divided = false;
                             }
                             return over;
                         });
@@ -77,6 +89,15 @@
         return Optional.ofNullable(states.get(id)).map(UpstreamState::description);
     }
 
+    /** How the engines are divided between models. */
+    EngineShares engineShares() {
+        if (!divided) {
+            engineShares.divide(states.values());
+            divided = true;
+        }
+        return engineShares;
+    }
+
     Collection<UpstreamState> states() {
         return states.values();
     }
@@ -87,8 +108,12 @@
     }
 
     private UpstreamState fresh(Upstream upstream, long now) {
-        Optional<EngineTraits> engine =
-                traits.apply(upstream.service()).flatMap(ServiceTraits::engine);
-        return new UpstreamState(upstream, engine, now);
+        UpstreamState state = new UpstreamState(upstream, now);
+        state.engine(engine(upstream));
+        return state;
+    }
+
+    private Optional<EngineTraits> engine(Upstream upstream) {
+        return traits.apply(upstream.service()).flatMap(ServiceTraits::engine);
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -36,8 +36,8 @@
     private final Deque<Long> answeredStarts = new ArrayDeque<>();
     private Upstream description;
     private long coldUntilNanos;
-    private final Optional<EngineTraits> engine;
-    private final PromptMemory memory;
+    private Optional<EngineTraits> engine = Optional.empty();
+    private final PromptMemory memory = new PromptMemory(DEFAULT_CAPACITY_TOKENS / 2);
     private final SlidingCount recent = new SlidingCount(COLD_SPAN);
     private int running;
     private long unreadTokens;
@@ -47,13 +47,8 @@
     private Optional<UpstreamLoad> load = Optional.empty();
     private long loadNanos;
 
-    UpstreamState(Upstream description, Optional<EngineTraits> engine, long now) {
+    UpstreamState(Upstream description, long now) {
         this.description = description;
-        this.engine = engine;
-        memory =
-                new PromptMemory(
-                        engine.map(EngineTraits::capacityTokens).orElse(DEFAULT_CAPACITY_TOKENS)
-                                / 2);
         suspendedUntilNanos = now;
         coldUntilNanos = now + description.coldLeft().toNanos();
     }
@@ -62,6 +57,17 @@
         return description;
     }
 
+    /** Takes what the configuration says of the service's engines. */
+    void engine(Optional<EngineTraits> traits) {
+        engine = traits;
+        int tokens = traits.map(EngineTraits::capacityTokens).orElse(DEFAULT_CAPACITY_TOKENS);
+        memory.capacity(tokens / 2);
+    }
+
+    boolean runsModelsOfBothKinds() {
+        return engine.filter(EngineTraits::bothKinds).isPresent();
+    }
+
     void describe(Upstream next, long now) {
         description = next;
         if (!next.coldLeft().isZero()) {
--- /dev/null
+++ b/routing/src/test/java/org/wigeonferry/routing/EngineSharesTest.java
@@ -0,0 +1,103 @@
+package org.wigeonferry.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class EngineSharesTest {
+    private static final long NOW = 100 * RoutingFixtures.SECOND;
+    private static final List<String> IDS = List.of("a", "b", "c", "d", "e", "f", "g", "h", "i");
+
+    private final RoutingState state = RoutingFixtures.state(RoutingFixtures.config(7), NOW);
+
+    @Test
+    void zoneWithTwoEnginesHasOneForEachKind() {
+        put(IDS.subList(0, 2));
+        assertThat(enginesFor("small")).hasSize(1);
+        assertThat(enginesFor("large")).hasSize(1);
+    }
+
+    @Test
+    void mostEnginesAreForLargeModels() {
+        put(IDS);
+        assertThat(enginesFor("large")).hasSize(6);
+        assertThat(enginesFor("small")).hasSize(3).doesNotContainAnyElementsOf(enginesFor("large"));
+    }
+
+    @Test
+    void loneEngineServesBothKinds() {
+        put(IDS.subList(0, 1));
+        assertThat(enginesFor("small")).isEqualTo(enginesFor("large")).hasSize(1);
+    }
+
+    @Test
+    void entriesAgreeWhateverTheOrderInWhichTheyHeardOfTheEngines() {
+        put(IDS);
+        Set<String> forSmall = enginesFor("small");
+        RoutingState other = RoutingFixtures.state(RoutingFixtures.config(7), NOW);
+        for (int i = IDS.size() - 1; i >= 0; i--) {
+            other.upstreams().put(RoutingFixtures.upstream(IDS.get(i), "model"), NOW);
+        }
+        assertThat(enginesFor(other, "small")).isEqualTo(forSmall);
+    }
+
+    @Test
+    void engineThatLeavesIsReplacedInTheDivision() {
+        put(IDS.subList(0, 3));
+        String small = enginesFor("small").iterator().next();
+        state.upstreams().remove(small, NOW);
+        assertThat(enginesFor("small")).hasSize(1).doesNotContain(small);
+    }
+
+    @Test
+    void smallModelIsSentWhereNoLargeOneRuns() {
+        put(IDS);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 30; i++) {
+            RoutedRequest request = RoutingFixtures.request("chat", "id" + i, Optional.empty());
+            Job job = RoutingFixtures.admitted(state, request, NOW);
+            Send send = (Send) RoutingFixtures.place(state, job, NOW);
+            used.add(send.upstream().id());
+        }
+        assertThat(enginesFor("small")).containsAll(used);
+    }
+
+    @Test
+    void upstreamsThatWereKnownBeforeTheConfigurationAreDividedToo() {
+        RoutingState fresh =
+                new RoutingState(
+                        RoutingFixtures.ZONE,
+                        RoutingFixtures.LIMITS,
+                        state.freshness(),
+                        new ModelCascade(50),
+                        () -> 0,
+                        new LiveEntries("own", Set.of(), 1));
+        IDS.forEach(id -> fresh.upstreams().put(RoutingFixtures.upstream(id, "model"), NOW));
+        assertThat(enginesFor(fresh, "small")).hasSize(IDS.size());
+        fresh.configured(RoutingFixtures.config(7));
+        assertThat(enginesFor(fresh, "small")).hasSize(3);
+    }
+
+    private void put(List<String> ids) {
+        ids.forEach(id -> state.upstreams().put(RoutingFixtures.upstream(id, "model"), NOW));
+    }
+
+    private Set<String> enginesFor(String model) {
+        return enginesFor(state, model);
+    }
+
+    private static Set<String> enginesFor(RoutingState state, String model) {
+        Set<String> engines = new HashSet<>();
+        EngineShares shares = state.upstreams().engineShares();
+        for (UpstreamState upstream : state.upstreams().states()) {
+            if (!shares.mixes(upstream, model)) {
+                engines.add(upstream.description().id());
+            }
+        }
+        return engines;
+    }
+}
