--- a/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.routing.Admitted;
 import org.wigeonferry.routing.Freshness;
@@ -66,23 +68,12 @@
         assertThat(router.state().upstreams().upstream(ID)).isEmpty();
     }
 
-    @Test
-    void upstreamThatLeavesAfterABrokenConnectionIsGoneAtOnce() {
-        router.storeAnswered();
-        router.upstream(upstream());
-        time.run(Duration.ofMillis(1900));
-        router.storeUnanswered(control.nanoTime());
-        time.run(Duration.ofMillis(80));
-        router.storeAnswered();
-        router.upstreamGone(ID);
-        assertThat(router.state().upstreams().upstream(ID)).isEmpty();
-    }
-
-    @Test
-    void upstreamThatLeavesAfterAConnectionBrokeLateInAWaitIsGoneAtOnce() {
+    @ParameterizedTest
+    @ValueSource(longs = {1900, 3900})
+    void upstreamThatLeavesAfterABrokenConnectionIsGoneAtOnce(long calmMillis) {
         router.storeAnswered();
         router.upstream(upstream());
-        time.run(Duration.ofMillis(3900));
+        time.run(Duration.ofMillis(calmMillis));
         router.storeUnanswered(control.nanoTime());
         time.run(Duration.ofMillis(80));
         router.storeAnswered();
