Move no session to a new release in the first half of its roll-out

Ruled out: a wrong share or different draws (the draw is the same at all routers). Change: no session moves before 0.52 of the time; from then on the drawn sessions move at all routers, also where they were pinned to the old release, which was the same fault the other way round. As none moves at first, 1.5 of the share is drawn after, still bounded by count; a late completion asks for 8 good answers, as many as the judge of slowness needs.

--- a/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutBoard.java
@@ -16,7 +16,7 @@
     /** Answers that a completion asks for, early and at the end of the time. */
     private static final int MIN_GOOD = 12;
 
-    private static final int MIN_GOOD_LATE = 4;
+    private static final int MIN_GOOD_LATE = 8;
 
     /** Parts of an order's duration at which it may be completed, and must be if at all. */
     private static final double COMPLETE_FROM = 0.7;
@@ -24,11 +24,14 @@
     private static final double COMPLETE_LATE = 0.85;
 
     /**
-     * Part of the allowed share that is drawn, so that the bound is met by count only now and then.
+     * Part of an order's duration before which no session moves to the new release: a session may
+     * have been served by another entry just before, on the old one. A little over the half in
+     * which moves are forbidden.
      */
-    private static final double DRAWN_PART = 0.7;
+    private static final double MOVES_FROM = 0.52;
 
-    private static final double FIRST_HALF = 0.5;
+    /** Sessions that move, over the allowed share; more than one, as none moves at first. */
+    private static final double DRAWN_PART = 1.5;
 
     /** Sends to the new release that are allowed before its share is reached. */
     private static final int FIRST_SENDS = 2;
@@ -40,7 +43,6 @@
     private static final double MOST_SLOWNESS = 12;
 
     private final double exposureShare;
-    private final long sessionNanos;
     private final SessionPins pins;
     private final Map<String, RollOut> orders = new HashMap<>();
     private final Map<String, RollOutStatus> statuses = new HashMap<>();
@@ -49,7 +51,6 @@
 
     RollOutBoard(RoutingLimits limits) {
         exposureShare = limits.exposureShare();
-        sessionNanos = limits.sessionLife().toNanos() / 2;
         pins = new SessionPins(limits.sessionLife());
     }
 
@@ -158,12 +159,11 @@
         }
         Optional<String> pinned =
                 job.session().flatMap(session -> pins.release(job.service(), session, now));
-        boolean onFresh = pinned.map(fresh::equals).orElseGet(() -> drawn(order, job, now));
-        if (onFresh) {
+        boolean mayMove = part(order, now) >= MOVES_FROM;
+        if (pinned.filter(fresh::equals).isPresent() || (mayMove && drawn(order, job))) {
             return List.of(onlyFresh, onlyOld);
         }
-        boolean mayMove = pinned.isEmpty() || part(order, now) > FIRST_HALF;
-        return mayMove ? List.of(onlyOld, onlyFresh) : List.of(onlyOld);
+        return mayMove || pinned.isEmpty() ? List.of(onlyOld, onlyFresh) : List.of(onlyOld);
     }
 
     void onSend(Send send, Job job, long now) {
@@ -198,10 +198,7 @@
     }
 
     /** All entries draw the same for a session, since a session may reach several of them. */
-    private boolean drawn(RollOut order, Job job, long now) {
-        if (now - order.startNanos() < sessionNanos) {
-            return false;
-        }
+    private boolean drawn(RollOut order, Job job) {
         String name = job.session().orElse(job.request().id());
         return Hashes.fraction(name + '#' + order.revision()) < DRAWN_PART * exposureShare;
     }
