--- a/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
@@ -81,7 +81,7 @@
         for (int i = 0; i < TRIES; i++) {
             pause(BETWEEN_TRIES);
             try {
-                if (ask(port, "GET /api/ready HTTP/1.0\r\n\r\n").contains(" 200 ")) {
+                if (ask(port, Rehearsal.readinessQuestion()).contains(" 200 ")) {
                     return;
                 }
             } catch (IOException e) {
