--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ControlThread.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ControlThread.java
@@ -108,10 +108,13 @@
         }
     }
 
+    /**
+     * Logs errors as well: the executor would drop them, and end a repeated task without a line.
+     */
     private static void runAndLogFailure(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("control task failed", e);
         }
     }
--- a/platform_clients/src/main/java/org/wigeonferry/platform_clients/JsonHttpClient.java
+++ b/platform_clients/src/main/java/org/wigeonferry/platform_clients/JsonHttpClient.java
@@ -1,6 +1,8 @@
 package org.wigeonferry.platform_clients;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
@@ -25,7 +27,17 @@
  * exceeds 8 MiB or if it is not complete within the timeout. Immutable and thread safe.
  */
 public final class JsonHttpClient {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_NESTING_DEPTH = 100;
+    private static final int MAX_NUMBER_LENGTH = 100;
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper(
+                    JsonFactory.builder()
+                            .streamReadConstraints(
+                                    StreamReadConstraints.builder()
+                                            .maxNestingDepth(MAX_NESTING_DEPTH)
+                                            .maxNumberLength(MAX_NUMBER_LENGTH)
+                                            .build())
+                            .build());
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
     private final HttpClient client;
@@ -56,7 +68,10 @@
         return MAPPER.createObjectNode();
     }
 
-    /** Parses JSON; returns a {@link MissingNode} if the text is not valid JSON. */
+    /**
+     * Parses JSON; returns a {@link MissingNode} if the text is not valid JSON, is nested more than
+     * 100 levels deep or has a number of more than 100 characters.
+     */
     public static JsonNode parseJson(String text) {
         try {
             return MAPPER.readTree(text);
