Leave answers that can't be valid at their head; bound what incomplete answers hold

Cause: the body of an answer that its head had already shown to be no answer to this request, or to be a refusal that did not run, was read and thrown away until the upstream ended it; any byte counted as progress, so that a dripping stream or body was never silent; an event without an end was kept without a bound and scanned anew at each arrival; bodies were bounded at 16 MiB each, not together. The gap after which a stream is given up was a constant, shorter than the pauses that some routes allow (2 s).

Ruled out: heads. Jetty bounds a head field, and a head that drips counts as silent; an interim answer ends the send as broken. Tests show it.

Change: such answers end at their head, with the outcome that lets the request move on; progress is a complete event, or 256 bytes of a plain body; the gap comes from the route; EventScanner scans each byte once; ResponseBudget bounds what all incomplete answers hold to an eighth of the heap, the first 64 KiB of each being free so that small answers are not affected. Gauge response_bytes_reserved.

--- a/router/src/main/java/org/wigeonferry/router/CallContext.java
+++ b/router/src/main/java/org/wigeonferry/router/CallContext.java
@@ -13,6 +13,7 @@
  * thread.
  *
  * @param trafficExecutor runs the tasks that read requests and write responses
+ * @param responseBudget bounds the memory of responses that are not complete
  * @param inFlight number of calls without a final response
  */
 record CallContext(
@@ -23,4 +24,5 @@
         WireProtocol protocol,
         Refusals refusals,
         NodeMetrics metrics,
+        ResponseBudget responseBudget,
         AtomicInteger inFlight) {}
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -20,10 +20,14 @@
  */
 final class RoutedSend implements SendListener {
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
+    /** Bytes of a response that is not a stream which count as progress after its first ones. */
+    private static final int MIN_PROGRESS_BYTES = 256;
 
     /**
-     * A response that is not a stream is given up, and the request resent elsewhere, if no new
-     * bytes arrive for this share of the latency objective.
+     * A response that is not a stream is given up, and the request resent elsewhere, if it makes no
+     * progress for this share of the latency objective.
      */
     private static final double RESPONSE_TIMEOUT_SHARE = 0.9;
 
@@ -33,8 +37,10 @@
      */
     private static final double FIRST_EVENT_TIMEOUT_SHARE = 0.5;
 
-    /** Longest wait for further bytes of a stream before resending elsewhere. */
-    private static final Duration EVENT_GAP_TIMEOUT = Duration.ofMillis(1800);
+    /**
+     * Added to the longest gap that the route allows between events, before resending elsewhere.
+     */
+    private static final Duration EVENT_GAP_MARGIN = Duration.ofMillis(100);
 
     /** Interval at which it is checked again whether a resend is allowed. */
     private static final Duration SILENCE_RECHECK_INTERVAL = Duration.ofMillis(300);
@@ -44,17 +50,20 @@
     private final Send send;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final EventScanner scanner = new EventScanner();
+    private final BufferReservation reservation;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile Optional<ResponseHead> responseHead = Optional.empty();
     private volatile Runnable closeConnection = () -> {};
     private volatile Optional<Throwable> connectionFailure = Optional.empty();
     private volatile long firstByteNanos;
-    private volatile long lastByteNanos;
+    private volatile long lastProgressNanos;
+    private int bytesAtLastProgress;
 
     RoutedSend(CallContext context, RoutedCall call, Send send) {
         this.context = context;
         this.call = call;
         this.send = send;
+        reservation = new BufferReservation(context.responseBudget());
     }
 
     void start(UpstreamRequest request) {
@@ -82,7 +91,10 @@
                                         .onResponseHeaders(send, decodedHead.load(), nowNanos));
         if (decodedHead.isSuccess() && hasLowConfidence(decodedHead)) {
             finish(SendOutcome.DOUBTED, Optional.empty());
+            return;
         }
+        // Its body may have no end, so the send does not wait for it.
+        outcomeWithoutBody(decodedHead).ifPresent(outcome -> finish(outcome, Optional.empty()));
     }
 
     @Override
@@ -91,30 +103,18 @@
         if (ended.get()) {
             return;
         }
-        if (!decodedHead.isValidResponseTo(call.job().request().id())) {
-            return;
-        }
-        recordArrival();
+        recordFirstByte();
         if (!isStreamed(decodedHead)) {
             collect(bytes);
             return;
         }
-        ByteBuffer events = scanner.append(bytes);
-        if (events.hasRemaining()) {
-            call.forwardEvents(this, decodedHead, scanner, events);
-        }
+        scan(bytes, decodedHead);
     }
 
     @Override
     public void onComplete() {
         ResponseHead decodedHead = responseHead.orElseThrow();
-        if (decodedHead.misdirected()) {
-            finish(SendOutcome.MISDIRECTED, Optional.empty());
-        } else if (decodedHead.requestNotRun()) {
-            finish(SendOutcome.NOT_RUN, Optional.empty());
-        } else if (!decodedHead.isValidResponseTo(call.job().request().id())) {
-            finish(SendOutcome.BROKEN, Optional.empty());
-        } else if (isStreamed(decodedHead)) {
+        if (isStreamed(decodedHead)) {
             boolean complete = !scanner.hasIncompleteEvent() && scanner.eventCount() > 0;
             finish(complete ? SendOutcome.ANSWERED : SendOutcome.BROKEN, Optional.empty());
         } else {
@@ -141,7 +141,7 @@
                         ? Optional.empty()
                         : Optional.of(
                                 Duration.ofNanos(
-                                        (lastByteNanos - firstByteNanos)
+                                        (lastProgressNanos - firstByteNanos)
                                                 / (scanner.eventCount() - 1)));
         return new SendReport(
                 send, outcome, responseHead.isPresent(), timeToFirstByte, meanEventGap);
@@ -167,7 +167,7 @@
             return;
         }
         long nowNanos = context.control().nanoTime();
-        long lastActivityNanos = firstByteNanos == 0 ? send.startNanos() : lastByteNanos;
+        long lastActivityNanos = firstByteNanos == 0 ? send.startNanos() : lastProgressNanos;
         long timeLeftNanos = silenceTimeout().toNanos() - (nowNanos - lastActivityNanos);
         if (timeLeftNanos > 0) {
             context.control().schedule(Duration.ofNanos(timeLeftNanos), this::checkSilence);
@@ -185,7 +185,7 @@
         }
         return firstByteNanos == 0
                 ? shareOf(route.latencyObjective(), FIRST_EVENT_TIMEOUT_SHARE)
-                : EVENT_GAP_TIMEOUT;
+                : route.maxEventGap().plus(EVENT_GAP_MARGIN);
     }
 
     private static Duration shareOf(Duration time, double share) {
@@ -205,19 +205,59 @@
                 && !call.isStreaming();
     }
 
-    private void recordArrival() {
-        lastByteNanos = context.control().nanoTime();
+    /** The outcome if the head alone decides it; empty if the body counts. */
+    private Optional<SendOutcome> outcomeWithoutBody(ResponseHead decodedHead) {
+        if (decodedHead.misdirected()) {
+            return Optional.of(SendOutcome.MISDIRECTED);
+        }
+        if (decodedHead.requestNotRun()) {
+            return Optional.of(SendOutcome.NOT_RUN);
+        }
+        return decodedHead.isValidResponseTo(call.job().request().id())
+                ? Optional.empty()
+                : Optional.of(SendOutcome.BROKEN);
+    }
+
+    private void recordFirstByte() {
         if (firstByteNanos == 0) {
-            firstByteNanos = lastByteNanos;
+            recordProgress();
+            firstByteNanos = lastProgressNanos;
+        }
+    }
+
+    /** Single bytes of an event or a response are no progress, as a stalled upstream may drip. */
+    private void recordProgress() {
+        lastProgressNanos = context.control().nanoTime();
+    }
+
+    private void scan(ByteBuffer bytes, ResponseHead decodedHead) {
+        ByteBuffer events = scanner.append(bytes);
+        if (events.hasRemaining()) {
+            recordProgress();
+            call.forwardEvents(this, decodedHead, scanner, events);
         }
+        endIfTooLarge(scanner.incompleteEventBytes(), MAX_EVENT_BYTES);
     }
 
     private void collect(ByteBuffer bytes) {
-        if (body.size() + bytes.remaining() > MAX_RESPONSE_BYTES) {
-            finish(SendOutcome.BROKEN, Optional.empty());
+        int newSize = body.size() + bytes.remaining();
+        if (endIfTooLarge(newSize, MAX_RESPONSE_BYTES)) {
             return;
         }
         body.write(bytes.array(), bytes.arrayOffset() + bytes.position(), bytes.remaining());
+        if (newSize - bytesAtLastProgress >= MIN_PROGRESS_BYTES) {
+            bytesAtLastProgress = newSize;
+            recordProgress();
+        }
+    }
+
+    /** Ends the send if the buffered bytes exceed a limit or the memory of all responses. */
+    private boolean endIfTooLarge(int bufferedBytes, int maxBytes) {
+        if (bufferedBytes <= maxBytes && reservation.tryResize(bufferedBytes)) {
+            return false;
+        }
+        finish(SendOutcome.BROKEN, Optional.empty());
+        return true;
     }
 
     private void finish(SendOutcome outcome, Optional<CompleteResponse> response) {
@@ -225,6 +265,7 @@
             return;
         }
         closeConnection.run();
+        reservation.close();
         call.onSendEnded(this, toReport(outcome), response);
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterServer.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterServer.java
@@ -29,6 +29,9 @@
  * <p>Thread safe.
  */
 public final class RouterServer implements Daemon {
+    /** The heap divided by this is what incomplete responses may hold beyond small ones. */
+    private static final int HEAP_PARTS_PER_RESPONSE_BUDGET = 8;
+
     private static final Logger LOG = LoggerFactory.getLogger("process");
 
     private static final int MAX_REQUEST_HEADER_BYTES = 32 << 10;
@@ -68,6 +71,9 @@
         QueuedThreadPool threads = new QueuedThreadPool(MAX_CALLER_THREADS, MIN_CALLER_THREADS);
         threads.setName("callers");
         threads.setDaemon(true);
+        ResponseBudget responseBudget =
+                new ResponseBudget(
+                        Runtime.getRuntime().maxMemory() / HEAP_PARTS_PER_RESPONSE_BUDGET);
         handler =
                 new CallerRequestHandler(
                         new CallContext(
@@ -78,8 +84,10 @@
                                 protocol,
                                 new Refusals(),
                                 metrics,
+                                responseBudget,
                                 inFlight));
         metrics.registerGauge("in_flight", inFlight::get);
+        metrics.registerGauge("response_bytes_reserved", responseBudget::reservedBytes);
         callerServer = start(threads, addresses.callers(), handler);
         readinessServer =
                 HttpServers.start(
--- a/router/src/test/java/org/wigeonferry/router/EventScannerTest.java
+++ b/router/src/test/java/org/wigeonferry/router/EventScannerTest.java
@@ -30,6 +30,16 @@
         assertThat(scanner.eventCount()).isEqualTo(3);
     }
 
+    /** Scanning all of an event again at each of its bytes would take minutes. */
+    @Test
+    void eventThatArrivesByteByByteIsScannedOnce() {
+        for (int i = 0; i < 1 << 20; i++) {
+            scan("x");
+        }
+        assertThat(scanner.incompleteEventBytes()).isEqualTo(1 << 20);
+        assertThat(scan("\n\n")).hasSize((1 << 20) + 2);
+    }
+
     @Test
     void resultDoesNotDependOnChunkBoundaries() {
         for (long seed = 0; seed < 200; seed++) {
--- a/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
@@ -183,6 +183,7 @@
                                 RequestKind.SAFE,
                                 Duration.ofSeconds(5),
                                 Duration.ofSeconds(1),
+                                Duration.ofSeconds(1),
                                 2,
                                 0,
                                 true,
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -32,6 +32,7 @@
     private static final String LOOPBACK = "127.0.0.1";
 
     private final ControlThread control = new ControlThread("control");
+    private final NodeMetrics metrics = new NodeMetrics();
     private final JettySender sender;
     private final RouterServer server;
     private final int port;
@@ -68,7 +69,7 @@
                         router,
                         sender,
                         TestProtocol.protocol(),
-                        new NodeMetrics());
+                        metrics);
         control.submit(
                         () -> {
                             router.onConfigurationConfirmed(
@@ -86,6 +87,11 @@
         return server;
     }
 
+    /** Value of the gauge of memory that incomplete responses hold. */
+    long reservedResponseBytes() {
+        return (Long) metrics.registry().getGauges().get("response_bytes_reserved").getValue();
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(8000);
@@ -163,6 +169,7 @@
                 kind,
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
                 3,
                 0,
                 true,
--- a/routing/src/main/java/org/wigeonferry/routing/Route.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Route.java
@@ -11,6 +11,8 @@
  * @param timeout longest time from a request's admission to the end of its answer
  * @param latencyObjective target latency of answers; the time after which a silent upstream may be
  *     given up is proportional to it
+ * @param maxEventGap longest time between two events of a stream with which it still counts as on
+ *     time; an upstream that is silent for longer may be given up
  * @param maxRuns largest number of times that upstreams may have run a request
  * @param rank urgency of requests whose account has no rank; 0 is the most urgent
  * @param keyless whether requests need no API key
@@ -24,6 +26,7 @@
         RequestKind kind,
         Duration timeout,
         Duration latencyObjective,
+        Duration maxEventGap,
         int maxRuns,
         int rank,
         boolean keyless,
--- a/routing/src/test/java/org/wigeonferry/routing/Fixtures.java
+++ b/routing/src/test/java/org/wigeonferry/routing/Fixtures.java
@@ -82,6 +82,7 @@
                 kind,
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
                 2,
                 0,
                 false,
