Give up no send that waits in an engine's queue

Each resend read its prompt anew at another engine, so that the queues grew. A router knew the tokens of its own sends only (one part in 23), and constants of two fleets stood for the rest.

--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -168,10 +168,12 @@
         }
         long nowNanos = context.control().nanoTime();
         long lastActivityNanos = firstByteNanos == 0 ? send.startNanos() : lastProgressNanos;
-        long timeLeftNanos = silenceTimeout().toNanos() - (nowNanos - lastActivityNanos);
-        if (timeLeftNanos > 0) {
-            context.control().schedule(Duration.ofNanos(timeLeftNanos), this::checkSilence);
-        } else if (context.state().mayResend(call.job(), send, firstByteNanos != 0, nowNanos)) {
+        Duration silence = Duration.ofNanos(nowNanos - lastActivityNanos);
+        Duration timeLeft = silenceTimeout().minus(silence);
+        if (!timeLeft.isNegative() && !timeLeft.isZero()) {
+            context.control().schedule(timeLeft, this::checkSilence);
+        } else if (context.state()
+                .mayResend(call.job(), send, firstByteNanos != 0, silence, nowNanos)) {
             context.trafficExecutor().execute(() -> cancel(SendOutcome.SILENT));
         } else {
             context.control().schedule(SILENCE_RECHECK_INTERVAL, this::checkSilence);
@@ -185,7 +187,7 @@
         }
         return firstByteNanos == 0
                 ? shareOf(route.latencyObjective(), FIRST_EVENT_TIMEOUT_SHARE)
-                : route.maxEventGap().plus(EVENT_GAP_MARGIN);
+                : route.maxEventGap();
     }
 
     private static Duration shareOf(Duration time, double share) {
--- a/router/src/test/java/org/wigeonferry/router/EndlessUpstreamTest.java
+++ b/router/src/test/java/org/wigeonferry/router/EndlessUpstreamTest.java
@@ -124,13 +124,13 @@
                 .doesNotContain("xx");
     }
 
-    /** The route allows pauses of 1 s. */
+    /** The route allows pauses of 400 ms. */
     @Test
     void streamThatPausesAsLongAsItsRouteAllowsIsNotCut() throws Exception {
         UpstreamScript slow =
                 (head, socket) -> {
                     write(socket, STREAM_HEAD + "id: 1\ndata: a\n\n");
-                    LockSupport.parkNanos(Duration.ofMillis(980).toNanos());
+                    LockSupport.parkNanos(Duration.ofMillis(390).toNanos());
                     write(socket, "id: 2\ndata: slow\n\n");
                 };
         assertThat(exchange("/stream/x", slow, GOOD_EVENT)).contains("data: slow");
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -57,7 +57,11 @@
                         new LiveRouters("router", Set.of(), 1));
         RouterControl router =
                 new RouterControl(
-                        "router", control, state, report -> {}, (order, next, known) -> {});
+                        "router",
+                        control,
+                        state,
+                        report -> {},
+                        (order, next, known) -> {});
         port = freePort();
         server =
                 new RouterServer(
@@ -169,7 +173,7 @@
                 kind,
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(1),
-                Duration.ofSeconds(1),
+                Duration.ofMillis(400),
                 3,
                 0,
                 true,
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -174,24 +174,34 @@
     }
 
     /**
-     * Whether a job whose upstream is silent may be sent to another one: it may run again, its
-     * answer had begun or the send is probably lost, and the retry budget and an upstream allow it.
+     * Whether a job whose upstream is silent may be sent to another one: it may run again, the
+     * upstream is probably not just busy, and the retry budget and an upstream allow it.
+     *
+     * @param silence time since the last progress of the answer, or since the start of the send
      */
-    public boolean mayResend(Job job, Send send, boolean answerBegun, long nowNanos) {
+    public boolean mayResend(
+            Job job, Send send, boolean answerBegun, Duration silence, long nowNanos) {
         if (!job.route().kind().isRepeatable() || job.possibleRuns() >= job.route().maxRuns()) {
             return false;
         }
-        boolean needsResend =
-                answerBegun
-                        || upstreams
-                                .state(send.upstream().incarnation())
-                                .map(state -> state.isProbablyLost(send, nowNanos))
-                                .orElse(true);
+        ServiceState service = stateOf(job.service());
+        boolean isGivenUp =
+                upstreams
+                        .state(send.upstream().incarnation())
+                        .map(
+                                state ->
+                                        answerBegun
+                                                ? SilenceRule.isStalled(
+                                                        state, job.route(), silence, nowNanos)
+                                                : SilenceRule.isLost(
+                                                        state,
+                                                        send,
+                                                        service.waits(send.model()).value(),
+                                                        silence))
+                        .orElse(true);
         UpstreamRule rule = commonRule();
-        return needsResend
-                && stateOf(job.service())
-                        .retryBudget()
-                        .hasSpareRetries(nowNanos, routers.assumedCount())
+        return isGivenUp
+                && service.retryBudget().hasSpareRetries(nowNanos, routers.assumedCount())
                 && upstreams.upstreamStates().stream()
                         .anyMatch(s -> !s.isSuspended(nowNanos) && rule.allows(s, job, nowNanos));
     }
@@ -199,7 +209,9 @@
     /** Records that response headers arrived, which shows that the prompt was processed. */
     public void onResponseHeaders(Send send, Optional<ReportedLoad> load, long nowNanos) {
         Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
-        stateOf(send.upstream().service()).slowness().recordTimeToHeaders(elapsed, send, nowNanos);
+        ServiceState service = stateOf(send.upstream().service());
+        service.slowness().recordTimeToHeaders(elapsed, send, nowNanos);
+        service.waits(send.model()).record(elapsed.minus(Slowness.timeToProcess(send)));
         upstreams
                 .state(send.upstream().incarnation())
                 .ifPresent(state -> state.onHeadersOrEnd(send, load, nowNanos));
@@ -217,6 +229,12 @@
                             }
                             state.onSendEnd(report, nowNanos);
                         });
+        if (report.outcome() == SendOutcome.SILENT && !report.headersReceived()) {
+            Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
+            stateOf(send.upstream().service())
+                    .waits(send.model())
+                    .recordGivenUp(elapsed.minus(Slowness.timeToProcess(send)));
+        }
         if (report.outcome().provedNotRun()) {
             job.onSendProvedNotRun();
         }
--- a/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
@@ -1,7 +1,11 @@
 package org.wigeonferry.routing;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
 /**
- * Retry budget and recent latency of one service, as seen by this router.
+ * Retry budget and recent latencies of one service, as seen by this router.
  *
  * <p>Owned by the control thread.
  */
@@ -15,6 +19,7 @@
 
     private final SlidingWindowRetryBudget retryBudget;
     private final Slowness slowness = new Slowness();
+    private final Map<Optional<String>, WaitQuantile> waitsByModel = new HashMap<>();
 
     ServiceState(RoutingLimits limits) {
         retryBudget = new SlidingWindowRetryBudget(limits);
@@ -28,6 +33,13 @@
         return slowness;
     }
 
+    /**
+     * Waits before the response headers of sends to a model; empty for a service without models.
+     */
+    WaitQuantile waits(Optional<String> model) {
+        return waitsByModel.computeIfAbsent(model, key -> new WaitQuantile());
+    }
+
     /**
      * Whether an answer of low confidence may be dropped and the request sent to a larger model.
      *
--- a/routing/src/main/java/org/wigeonferry/routing/Slowness.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Slowness.java
@@ -36,6 +36,12 @@
         return Math.min(MAX_RATIO, elapsed.toNanos() / 1000.0 / expectedMicros);
     }
 
+    /** Expected time to process the prompt of a send if no other prompt is processed. */
+    static Duration timeToProcess(Send send) {
+        return Duration.ofNanos(
+                Math.round(1000 * MICROS_PER_UNCACHED_TOKEN * send.weightedUncachedTokens()));
+    }
+
     void recordTimeToHeaders(Duration elapsed, Send send, long nowNanos) {
         meanRatio =
                 meanRatio(nowNanos)
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -32,12 +32,6 @@
     /** Window of the count of sends that the limit for cold upstreams applies to. */
     private static final Duration COLD_RATE_WINDOW = Duration.ofSeconds(1);
 
-    /** Longest expected time to the response headers of a send if no tokens are queued. */
-    private static final Duration MAX_UNQUEUED_DELAY = Duration.ofMillis(1000);
-
-    /** Expected delay per queued prompt token; includes the wait for other routers' requests. */
-    private static final long NANOS_PER_QUEUED_TOKEN = 250_000;
-
     /** A send counts as overtaken by each resolved send that started more than this later. */
     private static final Duration MIN_OVERTAKING_LAG = Duration.ofMillis(300);
 
@@ -142,23 +136,18 @@
         send.model().ifPresent(model -> prefixCache.recordPrompt(model, request.parts()));
     }
 
-    /**
-     * Whether a send without response headers is probably lost, rather than queued.
-     *
-     * <p>This is so if no later send is resolved and it has waited longer than the queued tokens
-     * explain, or if it was overtaken {@link #MIN_OVERTAKING_SENDS} times.
-     */
-    boolean isProbablyLost(Send send, long nowNanos) {
-        long waitedNanos = nowNanos - send.startNanos();
-        long maxQueueNanos = MAX_UNQUEUED_DELAY.toNanos() + queuedTokens * NANOS_PER_QUEUED_TOKEN;
-        boolean noLaterSendResolved =
-                resolvedStartNanos.stream().noneMatch(t -> t - send.startNanos() > 0);
+    /** Whether no send that started later has been answered or has ended. */
+    boolean noLaterSendIsResolved(Send send) {
+        return resolvedStartNanos.stream().noneMatch(t -> t - send.startNanos() > 0);
+    }
+
+    /** Whether so many later sends are resolved that this one is probably not in a queue. */
+    boolean isOvertaken(Send send) {
         long overtakingSends =
                 resolvedStartNanos.stream()
                         .filter(t -> t - send.startNanos() > MIN_OVERTAKING_LAG.toNanos())
                         .count();
-        return (noLaterSendResolved && waitedNanos > maxQueueNanos)
-                || overtakingSends >= MIN_OVERTAKING_SENDS;
+        return overtakingSends >= MIN_OVERTAKING_SENDS;
     }
 
     /** Records that response headers of a send arrived, or that it ended without them. */
--- a/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -229,10 +230,12 @@
         state.upstreams().put(Fixtures.upstream("b", "model"), NOW_NANOS);
         Job job = Fixtures.admit(state, Fixtures.request("chat"), NOW_NANOS);
         Send send = (Send) Fixtures.place(state, job, NOW_NANOS);
-        long soonNanos = NOW_NANOS + Fixtures.NANOS_PER_SECOND / 2;
-        long lateNanos = NOW_NANOS + 2 * Fixtures.NANOS_PER_SECOND;
-        assertThat(state.mayResend(job, send, false, soonNanos)).isFalse();
-        assertThat(state.mayResend(job, send, false, lateNanos)).isTrue();
+        assertThat(mayResendAfter(job, send, Duration.ofMillis(500))).isFalse();
+        assertThat(mayResendAfter(job, send, Duration.ofMillis(2500))).isTrue();
+    }
+
+    private boolean mayResendAfter(Job job, Send send, Duration silence) {
+        return state.mayResend(job, send, false, silence, NOW_NANOS + silence.toNanos());
     }
 
     @Test
@@ -241,8 +244,7 @@
         state.upstreams().put(Fixtures.upstream("b", "desk"), NOW_NANOS);
         Job job = Fixtures.admit(state, Fixtures.request("book"), NOW_NANOS);
         Send send = (Send) Fixtures.place(state, job, NOW_NANOS);
-        long lateNanos = NOW_NANOS + 2 * Fixtures.NANOS_PER_SECOND;
-        assertThat(state.mayResend(job, send, false, lateNanos)).isFalse();
+        assertThat(mayResendAfter(job, send, Duration.ofMillis(2500))).isFalse();
     }
 
     @Test
