--- a/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
@@ -113,9 +113,9 @@
                 String.format(
                         "[node]%nname=warm-up%navailability-zone=z%n"
                                 + "[listen]%ncallers=127.0.0.1:%d%nready=127.0.0.1:%d%n"
-                                + "metrics=127.0.0.1:%d%n[store]%naddress=%s%n"
+                                + "metrics=127.0.0.1:%d%npeers=127.0.0.1:%d%n[store]%naddress=%s%n"
                                 + "[limits]%nretry-extra=50%n",
-                        callers, ready, freePort(), store);
+                        callers, ready, freePort(), freePort(), store);
         Path file = Files.createTempFile("warm-up", ".ini");
         file.toFile().deleteOnExit();
         return Files.writeString(file, text);
--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakRouter.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakRouter.java
@@ -47,6 +47,8 @@
                         + ready
                         + "\nmetrics = "
                         + ports.next()
+                        + "\npeers = "
+                        + ports.next()
                         + "\n[store]\naddress = "
                         + store.address()
                         + "\n");
--- a/messages/src/main/thrift/messages.thrift
+++ b/messages/src/main/thrift/messages.thrift
@@ -139,3 +139,17 @@
 struct HoldReply {
   1: required bool held;
 }
+
+/** What one router has under way at an upstream; the upstream is a hash of its id. */
+struct UpstreamLoadMessage {
+  1: required i32 upstream;
+  2: required i32 queuedTokens;
+  3: required i32 runningSends;
+}
+
+/** All that one router has under way; a higher sequence replaces the message before. */
+struct RouterLoadMessage {
+  1: required string router;
+  2: required i64 sequence;
+  3: required list<UpstreamLoadMessage> loads;
+}
--- /dev/null
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -0,0 +1,138 @@
+package org.wigeonferry.router;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.node_runtime.ControlExecutor;
+import org.wigeonferry.routing.OwnLoad;
+import org.wigeonferry.routing.RoutingState;
+import org.wigeonferry.routing.Send;
+
+/**
+ * Tells the other routers of the availability zone what this one has under way.
+ *
+ * <p>Only routers of one zone exchange reports, since requests mostly stay in their zone and bytes
+ * between zones are dear. Owned by the control thread.
+ */
+public final class LoadExchange {
+    private static final Logger LOG = LoggerFactory.getLogger("peers");
+
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
+
+    /** Reports of an unchanged load are sent less often, but before the last one expires. */
+    private static final int INTERVALS_PER_UNCHANGED_REPORT = 3;
+
+    /**
+     * Weighted prompt tokens of a send that is reported at once, so that no other router sends a
+     * prompt to the same upstream in the meantime.
+     */
+    private static final int LARGE_SEND_TOKENS = 500;
+
+    private static final long SEQUENCES_PER_MILLI = 1000;
+
+    private final String name;
+    private final ControlExecutor control;
+    private final RoutingState state;
+    private final Supplier<List<HostAddress>> peers;
+    private final DatagramSender sender;
+    private long sequence;
+    private List<OwnLoad> lastLoads = List.of();
+    private int intervalsSinceReport;
+    private boolean reportScheduled;
+
+    /**
+     * Creates an exchange that sends nothing yet.
+     *
+     * @param wallMillis the time of day, with which sequences rise over restarts
+     * @param peers the live routers of the zone, this one left out; asked on the control thread
+     */
+    LoadExchange(
+            String name,
+            ControlExecutor control,
+            RoutingState state,
+            long wallMillis,
+            Supplier<List<HostAddress>> peers,
+            DatagramSender sender) {
+        this.name = name;
+        this.control = control;
+        this.state = state;
+        this.peers = peers;
+        this.sender = sender;
+        sequence = wallMillis * SEQUENCES_PER_MILLI;
+    }
+
+    /** Starts to exchange reports with the routers of the zone that the control state knows. */
+    public static void start(
+            String name,
+            ControlExecutor control,
+            RouterControl router,
+            DatagramSocketPair sockets) {
+        LoadExchange exchange =
+                new LoadExchange(
+                        name,
+                        control,
+                        router.state(),
+                        System.currentTimeMillis(),
+                        router::zonePeers,
+                        sockets);
+        sockets.receive(exchange::onDatagram);
+        exchange.start();
+    }
+
+    /** Starts the periodic reports. */
+    void start() {
+        state.setSendListener(this::onSend);
+        control.scheduleWithFixedDelay(REPORT_INTERVAL, this::reportIfDue);
+    }
+
+    private void onSend(Send send) {
+        if (send.weightedUncachedTokens() >= LARGE_SEND_TOKENS && !reportScheduled) {
+            reportScheduled = true;
+            control.schedule(Duration.ZERO, this::reportIfDue);
+        }
+    }
+
+    /** Takes a datagram; called on any thread. */
+    void onDatagram(byte[] datagram) {
+        try {
+            LoadReport report = LoadReportMessages.decode(datagram);
+            control.execute(
+                    () ->
+                            state.peerLoads()
+                                    .apply(
+                                            report.router(),
+                                            report.sequence(),
+                                            report.loads(),
+                                            control.nanoTime()));
+        } catch (CodecException e) {
+            LOG.atDebug().addKeyValue("cause", e.toString()).log("load report can't be read");
+        }
+    }
+
+    private void reportIfDue() {
+        reportScheduled = false;
+        List<OwnLoad> loads = state.ownLoads();
+        intervalsSinceReport++;
+        boolean due =
+                !loads.equals(lastLoads)
+                        || (!loads.isEmpty()
+                                && intervalsSinceReport >= INTERVALS_PER_UNCHANGED_REPORT);
+        List<HostAddress> receivers = peers.get();
+        if (!due || receivers.isEmpty()) {
+            return;
+        }
+        sequence++;
+        lastLoads = loads;
+        intervalsSinceReport = 0;
+        try {
+            byte[] datagram = LoadReportMessages.encode(new LoadReport(name, sequence, loads));
+            receivers.forEach(peer -> sender.send(peer, datagram));
+        } catch (CodecException e) {
+            LOG.atWarn().addKeyValue("cause", e.toString()).log("load report can't be written");
+        }
+    }
+}
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.node_runtime.ControlExecutor;
+import org.wigeonferry.routing.LiveRouters;
 import org.wigeonferry.routing.ReleaseEvidence;
 import org.wigeonferry.routing.RollOut;
 import org.wigeonferry.routing.RollOutEvidence;
@@ -14,6 +17,7 @@
 import org.wigeonferry.routing.RollOutStatus;
 import org.wigeonferry.routing.RoutingConfig;
 import org.wigeonferry.routing.RoutingState;
+import org.wigeonferry.routing.TrafficMove;
 import org.wigeonferry.routing.UpstreamInstance;
 
 /**
@@ -35,42 +39,38 @@
     /** Interval at which upstreams expire, roll-outs are decided and due reports are sent. */
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
-    /** Checks from one report to the next if nothing has changed. */
-    private static final int CHECKS_PER_PERIODIC_REPORT = 12;
-
-    /** Fewest checks from one report to the next if the evidence of a roll-out has changed. */
-    private static final int MIN_CHECKS_PER_CHANGED_REPORT = 2;
-
     private static final Logger LOG = LoggerFactory.getLogger("control");
 
     private final String name;
     private final ControlExecutor control;
     private final RoutingState state;
-    private final RouterReportPublisher reportPublisher;
-    private final RollOutReporter rollOutReporter;
+    private final Optional<PeerAddress> peerAddress;
+    private final StoreReporters reporters;
+    private final PeerDirectory peers;
     private final LiveRouterTracker liveRouters;
+    private final ReportSchedule reportSchedule = new ReportSchedule();
     private boolean storeAnswers;
     private Optional<Long> unansweredSinceNanos = Optional.empty();
     private boolean allUpstreamsRead;
     private long heartbeat;
-    private int checkCount;
-    private Map<String, Integer> publishedLossCounts = Map.of();
-    private Map<String, ReleaseEvidence> publishedEvidence = Map.of();
 
     /**
      * Creates the control state of the named router, which publishes through the given functions.
+     *
+     * @param peerAddress where this router takes load reports; empty if it takes none
      */
     public RouterControl(
             String name,
             ControlExecutor control,
             RoutingState state,
-            RouterReportPublisher reportPublisher,
-            RollOutReporter rollOutReporter) {
+            Optional<PeerAddress> peerAddress,
+            StoreReporters reporters) {
         this.name = name;
         this.control = control;
         this.state = state;
-        this.reportPublisher = reportPublisher;
-        this.rollOutReporter = rollOutReporter;
+        this.peerAddress = peerAddress;
+        this.reporters = reporters;
+        peers = new PeerDirectory(name, peerAddress);
         liveRouters = new LiveRouterTracker(name, ROUTER_TIMEOUT, ASSUMED_ROUTER_COUNT);
     }
 
@@ -192,6 +192,15 @@
                 .log("roll-out state");
     }
 
+    /** Applies the stored start of a traffic move. */
+    public void onTrafficMove(TrafficMove move) {
+        state.rollOuts().applyMove(move);
+        LOG.atInfo()
+                .addKeyValue("service", move.service())
+                .addKeyValue("order", move.orderRevision())
+                .log("traffic move started");
+    }
+
     /**
      * Applies a router's report. The own report counts only as a sign that this router is live; its
      * data are not applied, as the state has them already.
@@ -201,11 +210,17 @@
         if (router.equals(name)) {
             return;
         }
+        peers.onReport(router, report.peerAddress());
         state.rollOuts().applyPeerEvidence(router, report.evidence());
         state.poisonRegister()
                 .applyPeerLossCounts(router, report.connectionLossCounts(), control.nanoTime());
     }
 
+    /** The other live routers of the availability zone that take load reports. */
+    List<HostAddress> zonePeers() {
+        return peers.zonePeers();
+    }
+
     /** Records that the reports of all routers have been read once. */
     public void onAllRouterReportsRead() {
         liveRouters.recordAllReportsRead(control.nanoTime());
@@ -219,40 +234,36 @@
     private void runChecks() {
         long now = control.nanoTime();
         state.upstreams().removeExpired(now);
-        state.setLiveRouters(liveRouters.expireAndReturnLive(now, storeAnswers));
+        LiveRouters live = liveRouters.expireAndReturnLive(now, storeAnswers);
+        state.setLiveRouters(live);
+        peers.retain(live.names());
+        state.peerLoads().expire(now);
         if (!storeAnswers) {
             return;
         }
         for (RollOut rollOut : state.rollOuts().orders()) {
             state.rollOuts().nextState(rollOut, now).ifPresent(next -> report(rollOut, next));
+            if (state.rollOuts().shouldStartMove(rollOut, now)) {
+                reporters.moves().report(rollOut, state.rollOuts().move(rollOut.service()));
+            }
         }
         publishIfDue();
     }
 
-    /**
-     * Publishes the report if the period has passed, if the evidence of a roll-out has changed, or,
-     * at once, if a request digest has caused more than one connection loss. The first check
-     * announces this router to the others; later reports keep it from being counted as gone.
-     */
     private void publishIfDue() {
         Map<String, Integer> lossCounts = state.poisonRegister().ownLossCounts();
-        Map<String, ReleaseEvidence> evidence = ownEvidenceOfNewReleases();
-        boolean repeatedLoss =
-                !lossCounts.equals(publishedLossCounts)
-                        && lossCounts.values().stream().anyMatch(losses -> losses > 1);
-        boolean evidenceChanged =
-                checkCount % MIN_CHECKS_PER_CHANGED_REPORT == 0
-                        && !evidence.equals(publishedEvidence);
-        boolean periodPassed = checkCount % CHECKS_PER_PERIODIC_REPORT == 0;
-        checkCount++;
-        if (!repeatedLoss && !evidenceChanged && !periodPassed) {
+        if (!reportSchedule.takeDue(lossCounts, ownEvidenceOfNewReleases())) {
             return;
         }
-        publishedLossCounts = lossCounts;
-        publishedEvidence = evidence;
         heartbeat++;
-        reportPublisher.publish(
-                new RouterReport(heartbeat, state.rollOuts().ownEvidence(), lossCounts));
+        reporters
+                .routerReports()
+                .publish(
+                        new RouterReport(
+                                heartbeat,
+                                state.rollOuts().ownEvidence(),
+                                lossCounts,
+                                peerAddress));
     }
 
     /** This router's evidence of the new releases in running roll-outs, by service. */
@@ -283,6 +294,6 @@
                 .addKeyValue("state", next)
                 .addKeyValue("evidence", state.rollOuts().totalEvidence(rollOut))
                 .log("roll-out decided");
-        rollOutReporter.report(rollOut, next, state.rollOuts().status(rollOut.service()));
+        reporters.rollOuts().report(rollOut, next, state.rollOuts().status(rollOut.service()));
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterReport.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterReport.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.router;
 
 import java.util.Map;
+import java.util.Optional;
 import org.wigeonferry.routing.RollOutEvidence;
 
 /**
@@ -13,11 +14,13 @@
  * @param evidence what this router measured of the releases in roll-outs, by service
  * @param connectionLossCounts consecutive connection losses at this router, by the digest of the
  *     request that was being served
+ * @param peerAddress where the router takes load reports; empty if it takes none
  */
 public record RouterReport(
         long heartbeat,
         Map<String, RollOutEvidence> evidence,
-        Map<String, Integer> connectionLossCounts) {
+        Map<String, Integer> connectionLossCounts,
+        Optional<PeerAddress> peerAddress) {
     public RouterReport {
         evidence = Map.copyOf(evidence);
         connectionLossCounts = Map.copyOf(connectionLossCounts);
--- /dev/null
+++ b/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
@@ -0,0 +1,113 @@
+package org.wigeonferry.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.routing.Freshness;
+import org.wigeonferry.routing.LiveRouters;
+import org.wigeonferry.routing.ModelCascade;
+import org.wigeonferry.routing.OwnLoad;
+import org.wigeonferry.routing.RoutingLimits;
+import org.wigeonferry.routing.RoutingState;
+import org.wigeonferry.stand_ins.VirtualControl;
+import org.wigeonferry.stand_ins.VirtualTime;
+
+class LoadExchangeTest {
+    private static final HostAddress PEER = new HostAddress("127.0.0.1", 1);
+
+    private final VirtualTime time = new VirtualTime();
+    private final List<byte[]> sent = new ArrayList<>();
+    private final RoutingState state =
+            new RoutingState(
+                    "zone",
+                    new RoutingLimits(
+                            1,
+                            50,
+                            Duration.ofSeconds(10),
+                            1,
+                            0,
+                            0.1,
+                            Duration.ofSeconds(5),
+                            Duration.ofSeconds(2)),
+                    new Freshness(Duration.ofMinutes(5), Duration.ofSeconds(5)),
+                    new ModelCascade(0),
+                    () -> 0.5,
+                    new LiveRouters("router", Set.of(), 1));
+    private final LoadExchange exchange =
+            new LoadExchange(
+                    "router",
+                    new VirtualControl(time),
+                    state,
+                    5,
+                    () -> List.of(PEER),
+                    (peer, datagram) -> sent.add(datagram));
+
+    @Test
+    void idleRouterSendsNothing() {
+        exchange.start();
+        time.run(Duration.ofSeconds(5));
+        assertThat(sent).isEmpty();
+    }
+
+    /** Anyone may send a datagram; one that is no report must change nothing. */
+    @Test
+    void datagramThatIsNoReportIsIgnored() {
+        Random random = new Random(11);
+        for (int i = 0; i < 2000; i++) {
+            byte[] datagram = new byte[random.nextInt(200)];
+            random.nextBytes(datagram);
+            exchange.onDatagram(datagram);
+        }
+        time.run(Duration.ofSeconds(1));
+        assertThat(sent).isEmpty();
+    }
+
+    @Test
+    void reportRoundTrips() throws Exception {
+        LoadReport report = new LoadReport("r", 7, List.of(new OwnLoad(-3, 4000, 2)));
+        assertThat(LoadReportMessages.decode(LoadReportMessages.encode(report))).isEqualTo(report);
+    }
+
+    @Test
+    void numbersOutOfRangeAreNoReport() throws Exception {
+        for (OwnLoad odd :
+                List.of(
+                        new OwnLoad(1, -1, 1),
+                        new OwnLoad(1, Integer.MAX_VALUE, 1),
+                        new OwnLoad(1, 1, Integer.MAX_VALUE))) {
+            byte[] datagram = LoadReportMessages.encode(new LoadReport("r", 7, List.of(odd)));
+            assertThatThrownBy(() -> LoadReportMessages.decode(datagram))
+                    .isInstanceOf(CodecException.class);
+        }
+    }
+
+    @Test
+    void datagramsArriveUntilTheSocketsAreClosed() throws Exception {
+        BlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
+        HostAddress address = new HostAddress("127.0.0.1", freePort());
+        try (DatagramSocketPair sockets = new DatagramSocketPair(address)) {
+            sockets.receive(received::add);
+            sockets.send(address, new byte[] {1, 2, 3});
+            assertThat(received.poll(5, TimeUnit.SECONDS)).containsExactly(1, 2, 3);
+        }
+    }
+
+    private static int freePort() throws Exception {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
@@ -0,0 +1,76 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the other routers of the availability zone have under way at the upstreams.
+ *
+ * <p>Answers the load of many routers before the same upstreams: each knows only its own sends, and
+ * what an upstream reports with its answers is old when there are many routers, so that without
+ * these reports prompts queue at some upstreams while others are idle. Reports may be lost; each
+ * holds all that its router has under way, and counts for {@link #TTL}.
+ *
+ * <p>Invariant: the sums are those of the unexpired reports. Owned by the control thread.
+ */
+public final class PeerLoads {
+    private static final Duration TTL = Duration.ofSeconds(1);
+
+    private final Map<String, PeerReport> reports = new HashMap<>();
+    private final Map<Integer, OwnLoad> sums = new HashMap<>();
+
+    /** Replaces a router's report, unless a later one is known. */
+    public void apply(String router, long sequence, List<OwnLoad> loads, long nowNanos) {
+        PeerReport known = reports.get(router);
+        if (known != null && known.sequence() >= sequence) {
+            return;
+        }
+        remove(router);
+        reports.put(router, new PeerReport(sequence, List.copyOf(loads), nowNanos));
+        loads.forEach(load -> add(load, 1));
+    }
+
+    /** Drops the reports that are too old. */
+    public void expire(long nowNanos) {
+        List.copyOf(reports.entrySet()).stream()
+                .filter(entry -> nowNanos - entry.getValue().receivedNanos() > TTL.toNanos())
+                .forEach(entry -> remove(entry.getKey()));
+    }
+
+    /** Weighted prompt tokens that the other routers have queued at an upstream. */
+    int queuedTokens(int upstreamKey) {
+        OwnLoad sum = sums.get(upstreamKey);
+        return sum == null ? 0 : sum.queuedTokens();
+    }
+
+    /** Sends of the other routers that run at an upstream. */
+    int runningSends(int upstreamKey) {
+        OwnLoad sum = sums.get(upstreamKey);
+        return sum == null ? 0 : sum.runningSends();
+    }
+
+    private void remove(String router) {
+        PeerReport removed = reports.remove(router);
+        if (removed != null) {
+            removed.loads().forEach(load -> add(load, -1));
+        }
+    }
+
+    private void add(OwnLoad load, int sign) {
+        sums.compute(
+                load.upstreamKey(),
+                (key, sum) -> {
+                    int tokens = (sum == null ? 0 : sum.queuedTokens());
+                    int sends = (sum == null ? 0 : sum.runningSends());
+                    OwnLoad newSum =
+                            new OwnLoad(
+                                    key,
+                                    tokens + sign * load.queuedTokens(),
+                                    sends + sign * load.runningSends());
+                    boolean empty = newSum.queuedTokens() == 0 && newSum.runningSends() == 0;
+                    return empty ? null : newSum;
+                });
+    }
+}
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -24,10 +26,12 @@
     private final DoubleSupplier randomSamples;
     private final UpstreamDirectory upstreams;
     private final RollOutTracker rollOuts;
+    private final PeerLoads peerLoads = new PeerLoads();
     private final UpstreamSelector selector;
     private final Set<String> disabledZones = new HashSet<>();
     private final Map<String, ServiceState> services = new HashMap<>();
     private final PoisonRequestRegister poisonRegister = new PoisonRequestRegister();
+    private Consumer<Send> sendListener = send -> {};
     private Optional<RoutingConfig> config = Optional.empty();
     private LiveRouters routers;
 
@@ -53,7 +57,7 @@
                 new UpstreamDirectory(
                         limits.outageGracePeriod(), s -> config.flatMap(c -> c.serviceTraits(s)));
         rollOuts = new RollOutTracker(limits);
-        selector = new UpstreamSelector(zone, upstreams);
+        selector = new UpstreamSelector(zone, upstreams, peerLoads);
     }
 
     /** When the configuration was last confirmed, and whether it is still up to date. */
@@ -73,6 +77,24 @@
         return poisonRegister;
     }
 
+    /** What the other routers of the zone have under way. */
+    public PeerLoads peerLoads() {
+        return peerLoads;
+    }
+
+    /** Sets what is called, on the control thread, after each choice of an upstream. */
+    public void setSendListener(Consumer<Send> listener) {
+        sendListener = listener;
+    }
+
+    /** What this router has under way, by upstream. */
+    public List<OwnLoad> ownLoads() {
+        return upstreams.upstreamStates().stream()
+                .filter(state -> state.runningSends() > 0)
+                .map(UpstreamState::ownLoad)
+                .toList();
+    }
+
     /** The configuration; empty until the first one is known. */
     public Optional<RoutingConfig> config() {
         return config;
@@ -310,6 +332,7 @@
         job.onSend(send.upstream().incarnation());
         state.onSend(send, job.request(), nowNanos);
         rollOuts.onSend(send, job, nowNanos);
+        sendListener.accept(send);
     }
 
     private ServiceState stateOf(String service) {
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/TrafficMove.java
@@ -0,0 +1,12 @@
+package org.wigeonferry.routing;
+
+/**
+ * The gradual move of a service's traffic to a release whose evidence is good.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param orderRevision revision of the roll-out order that the move belongs to
+ * @param revision version of the move's row in the store
+ * @param startNanos when this process learned of the move, on the monotonic clock
+ */
+public record TrafficMove(String service, long orderRevision, long revision, long startNanos) {}
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
@@ -31,12 +31,26 @@
     /** Failure shares up to this one add no cost. */
     private static final double IGNORED_FAILURE_SHARE = 0.25;
 
+    /**
+     * Share of the mean queue in the own zone that is assumed at the upstreams of other zones,
+     * whose routers send no reports.
+     */
+    private static final double ASSUMED_QUEUE_SHARE_IN_OTHER_ZONES = 0.5;
+
+    /**
+     * Largest random part of the cost, as a share of the tokens that the job adds. Routers that see
+     * the same loads would otherwise all choose the same upstream until the next reports.
+     */
+    private static final double MAX_RANDOM_COST_SHARE = 0.5;
+
     private final String zone;
     private final UpstreamDirectory directory;
+    private final PeerLoads peerLoads;
 
-    UpstreamSelector(String zone, UpstreamDirectory directory) {
+    UpstreamSelector(String zone, UpstreamDirectory directory, PeerLoads peerLoads) {
         this.zone = zone;
         this.directory = directory;
+        this.peerLoads = peerLoads;
     }
 
     /** The cheapest upstream that the rule allows; a suspended one only if all are suspended. */
@@ -48,11 +62,39 @@
                         .toList();
         List<UpstreamState> notSuspended =
                 candidates.stream().filter(state -> !state.isSuspended(nowNanos)).toList();
-        return (notSuspended.isEmpty() ? candidates : notSuspended)
-                .stream()
-                        .min(
-                                Comparator.comparingDouble(
-                                        state -> costTokens(state, job, model, nowNanos)));
+        List<UpstreamState> usable = notSuspended.isEmpty() ? candidates : notSuspended;
+        double otherZoneCostTokens =
+                OTHER_ZONE_COST_TOKENS
+                        + ASSUMED_QUEUE_SHARE_IN_OTHER_ZONES * meanQueueInOwnZone(usable);
+        return usable.stream()
+                .min(
+                        Comparator.comparingDouble(
+                                state ->
+                                        costTokens(state, job, model, nowNanos)
+                                                + (isInOwnZone(state) ? 0 : otherZoneCostTokens)));
+    }
+
+    private boolean isInOwnZone(UpstreamState state) {
+        return state.instance().zone().equals(zone);
+    }
+
+    private double meanQueueInOwnZone(List<UpstreamState> states) {
+        return states.stream()
+                .filter(this::isInOwnZone)
+                .mapToDouble(this::queuedTokens)
+                .average()
+                .orElse(0);
+    }
+
+    /** Tokens that the routers of the zone have queued at an upstream. */
+    private double queuedTokens(UpstreamState state) {
+        return state.queuedTokens() + peerLoads.queuedTokens(state.key());
+    }
+
+    /** Requests of other routers, as they or the upstream have reported. */
+    private int requestsOfOtherRouters(UpstreamState state, long nowNanos) {
+        return Math.max(
+                peerLoads.runningSends(state.key()), state.requestsOfOtherRouters(nowNanos));
     }
 
     /** Prompt tokens of a job that an upstream probably does not have in its prefix cache. */
@@ -70,16 +112,16 @@
     }
 
     private double costTokens(UpstreamState state, Job job, Optional<String> model, long nowNanos) {
-        double tokens =
-                weightedUncachedTokens(state, job, model)
-                        - affinityDiscountTokens(state, job, model);
-        tokens += state.queuedTokens();
+        int addedTokens = weightedUncachedTokens(state, job, model);
+        double tokens = addedTokens - affinityDiscountTokens(state, job, model);
+        tokens +=
+                MAX_RANDOM_COST_SHARE
+                        * Math.max(addedTokens, RUNNING_REQUEST_COST_TOKENS)
+                        * Hashes.fraction(job.request().id(), state.key());
+        tokens += queuedTokens(state);
         tokens +=
                 RUNNING_REQUEST_COST_TOKENS
-                        * (state.runningSends() + state.requestsOfOtherRouters(nowNanos));
-        if (!state.instance().zone().equals(zone)) {
-            tokens += OTHER_ZONE_COST_TOKENS;
-        }
+                        * (state.runningSends() + requestsOfOtherRouters(state, nowNanos));
         if (model.filter(name -> directory.enginePartition().wouldMixModelSizes(state, name))
                 .isPresent()) {
             tokens += MIXED_MODELS_COST_TOKENS;
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -44,6 +44,7 @@
     /** Start times of sends that are resolved: response headers arrived, or the send has ended. */
     private final Deque<Long> resolvedStartNanos = new ArrayDeque<>();
 
+    private final int key;
     private UpstreamInstance instance;
     private long coldUntilNanos;
     private Optional<EngineTraits> engineTraits = Optional.empty();
@@ -59,11 +60,17 @@
     private long lastLoadNanos;
 
     UpstreamState(UpstreamInstance instance, long nowNanos) {
+        key = Hashes.key(instance.id());
         this.instance = instance;
         suspendedUntilNanos = nowNanos;
         coldUntilNanos = nowNanos + instance.coldTimeLeft().toNanos();
     }
 
+    /** Stands for the upstream in messages between routers. */
+    int key() {
+        return key;
+    }
+
     UpstreamInstance instance() {
         return instance;
     }
@@ -112,6 +119,11 @@
         return queuedTokens;
     }
 
+    /** What this router has under way at the upstream. */
+    OwnLoad ownLoad() {
+        return new OwnLoad(key, (int) Math.max(0, queuedTokens), runningSends);
+    }
+
     /** Moving average of failures, from 0 to 1. */
     double failureShare() {
         return failureShare;
