--- a/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
@@ -1,5 +1,6 @@
 package org.wigeonferry.routing;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,11 @@
      */
     private static final double[] MAX_SLOWNESS_BY_RANK = {7, 4.5, 3};
 
+    /** First estimates of waits; a model reads the prompts before in its queue. */
+    private static final Duration INITIAL_WAIT_FOR_MODELS = Duration.ofMillis(1500);
+
+    private static final Duration INITIAL_WAIT = Duration.ofMillis(500);
+
     private final SlidingWindowRetryBudget retryBudget;
     private final Slowness slowness = new Slowness();
     private final Map<Optional<String>, WaitQuantile> waitsByModel = new HashMap<>();
@@ -37,7 +43,9 @@
      * Waits before the response headers of sends to a model; empty for a service without models.
      */
     WaitQuantile waits(Optional<String> model) {
-        return waitsByModel.computeIfAbsent(model, key -> new WaitQuantile());
+        return waitsByModel.computeIfAbsent(
+                model,
+                key -> new WaitQuantile(key.isPresent() ? INITIAL_WAIT_FOR_MODELS : INITIAL_WAIT));
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/WaitQuantile.java
+++ b/routing/src/main/java/org/wigeonferry/routing/WaitQuantile.java
@@ -12,7 +12,6 @@
 final class WaitQuantile {
     private static final Duration MIN = Duration.ofMillis(300);
     private static final Duration MAX = Duration.ofSeconds(30);
-    private static final Duration INITIAL = Duration.ofMillis(1500);
 
     /**
      * Factors by which a wait above or below the estimate moves it. They cancel out if 5 of 100
@@ -22,7 +21,12 @@
 
     private static final double FACTOR_BELOW = Math.pow(FACTOR_ABOVE, -5.0 / 95);
 
-    private double nanos = INITIAL.toNanos();
+    private double nanos;
+
+    /** Starts with an estimate, which the first sends correct. */
+    WaitQuantile(Duration initial) {
+        nanos = initial.toNanos();
+    }
 
     /** Records the wait of a send that was answered. */
     void record(Duration wait) {
--- a/routing/src/test/java/org/wigeonferry/routing/WaitQuantileTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/WaitQuantileTest.java
@@ -9,13 +9,15 @@
 class WaitQuantileTest {
     private static final int WAITS = 4000;
 
-    private final WaitQuantile quantile = new WaitQuantile();
+    private static final Duration INITIAL = Duration.ofMillis(1500);
+
+    private final WaitQuantile quantile = new WaitQuantile(INITIAL);
 
     @Test
     void isExceededByFiveOf100Waits() {
         for (long seed = 0; seed < 20; seed++) {
             Random random = new Random(seed);
-            WaitQuantile estimate = new WaitQuantile();
+            WaitQuantile estimate = new WaitQuantile(INITIAL);
             int exceeded = 0;
             for (int i = 0; i < WAITS; i++) {
                 Duration wait =
