Tell the routers of a zone which prompts went where; move the same sessions after a restart

Cause 1: a router estimated what engines have cached from its own sends, one in eight of its zone. Change: load reports also hold the prompts sent since the last one (SentPrompt).

Cause 2, by reading: a router that restarts while the traffic of a roll-out moves took the move for one that starts then, and would have sent sessions back to the old release (PINNED). The share grows with the square of the time, so that a release that turns bad under load has been given little when its failures show.

--- a/messages/src/main/java/org/wigeonferry/messages/gen/RouterLoadMessage.java
+++ b/messages/src/main/java/org/wigeonferry/messages/gen/RouterLoadMessage.java
@@ -7,7 +7,8 @@
 package org.wigeonferry.messages.gen;
 
 /**
- * All that one router has under way; a higher sequence replaces the message before.
+ * All that one router has under way, which a higher sequence replaces, and the prompts that it sent
+ * since the message before.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class RouterLoadMessage implements org.apache.thrift.TBase<RouterLoadMessage, RouterLoadMessage._Fields>, java.io.Serializable, Cloneable, Comparable<RouterLoadMessage> {
@@ -16,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField ROUTER_FIELD_DESC = new org.apache.thrift.protocol.TField("router", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RouterLoadMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RouterLoadMessageTupleSchemeFactory();
@@ -23,12 +25,14 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String router; // required
   private long sequence; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<UpstreamLoadMessage> loads; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<SentPromptMessage> prompts; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ROUTER((short)1, "router"),
     SEQUENCE((short)2, "sequence"),
-    LOADS((short)3, "loads");
+    LOADS((short)3, "loads"),
+    PROMPTS((short)4, "prompts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +54,8 @@
           return SEQUENCE;
         case 3: // LOADS
           return LOADS;
+        case 4: // PROMPTS
+          return PROMPTS;
         default:
           return null;
       }
@@ -105,6 +111,9 @@
     tmpMap.put(_Fields.LOADS, new org.apache.thrift.meta_data.FieldMetaData("loads", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, UpstreamLoadMessage.class))));
+    tmpMap.put(_Fields.PROMPTS, new org.apache.thrift.meta_data.FieldMetaData("prompts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SentPromptMessage.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RouterLoadMessage.class, metaDataMap);
   }
@@ -115,13 +124,15 @@
   public RouterLoadMessage(
     java.lang.String router,
     long sequence,
-    java.util.List<UpstreamLoadMessage> loads)
+    java.util.List<UpstreamLoadMessage> loads,
+    java.util.List<SentPromptMessage> prompts)
   {
     this();
     this.router = router;
     this.sequence = sequence;
     setSequenceIsSet(true);
     this.loads = loads;
+    this.prompts = prompts;
   }
 
   /**
@@ -140,6 +151,13 @@
       }
       this.loads = __this__loads;
     }
+    if (other.isSetPrompts()) {
+      java.util.List<SentPromptMessage> __this__prompts = new java.util.ArrayList<SentPromptMessage>(other.prompts.size());
+      for (SentPromptMessage other_element : other.prompts) {
+        __this__prompts.add(new SentPromptMessage(other_element));
+      }
+      this.prompts = __this__prompts;
+    }
   }
 
   @Override
@@ -153,6 +171,7 @@
     setSequenceIsSet(false);
     this.sequence = 0;
     this.loads = null;
+    this.prompts = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -244,6 +263,47 @@
     }
   }
 
+  public int getPromptsSize() {
+    return (this.prompts == null) ? 0 : this.prompts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SentPromptMessage> getPromptsIterator() {
+    return (this.prompts == null) ? null : this.prompts.iterator();
+  }
+
+  public void addToPrompts(SentPromptMessage elem) {
+    if (this.prompts == null) {
+      this.prompts = new java.util.ArrayList<SentPromptMessage>();
+    }
+    this.prompts.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SentPromptMessage> getPrompts() {
+    return this.prompts;
+  }
+
+  public RouterLoadMessage setPrompts(@org.apache.thrift.annotation.Nullable java.util.List<SentPromptMessage> prompts) {
+    this.prompts = prompts;
+    return this;
+  }
+
+  public void unsetPrompts() {
+    this.prompts = null;
+  }
+
+  /** Returns true if field prompts is set (has been assigned a value) and false otherwise */
+  public boolean isSetPrompts() {
+    return this.prompts != null;
+  }
+
+  public void setPromptsIsSet(boolean value) {
+    if (!value) {
+      this.prompts = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -271,6 +331,14 @@
       }
       break;
 
+    case PROMPTS:
+      if (value == null) {
+        unsetPrompts();
+      } else {
+        setPrompts((java.util.List<SentPromptMessage>)value);
+      }
+      break;
+
     }
   }
 
@@ -287,6 +355,9 @@
     case LOADS:
       return getLoads();
 
+    case PROMPTS:
+      return getPrompts();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -305,6 +376,8 @@
       return isSetSequence();
     case LOADS:
       return isSetLoads();
+    case PROMPTS:
+      return isSetPrompts();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -349,6 +422,15 @@
         return false;
     }
 
+    boolean this_present_prompts = true && this.isSetPrompts();
+    boolean that_present_prompts = true && that.isSetPrompts();
+    if (this_present_prompts || that_present_prompts) {
+      if (!(this_present_prompts && that_present_prompts))
+        return false;
+      if (!this.prompts.equals(that.prompts))
+        return false;
+    }
+
     return true;
   }
 
@@ -366,6 +448,10 @@
     if (isSetLoads())
       hashCode = hashCode * 8191 + loads.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetPrompts()) ? 131071 : 524287);
+    if (isSetPrompts())
+      hashCode = hashCode * 8191 + prompts.hashCode();
+
     return hashCode;
   }
 
@@ -407,6 +493,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPrompts(), other.isSetPrompts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPrompts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.prompts, other.prompts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -450,6 +546,14 @@
       sb.append(this.loads);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("prompts:");
+    if (this.prompts == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.prompts);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -463,6 +567,9 @@
     if (loads == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'loads' was not present! Struct: " + toString());
     }
+    if (prompts == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'prompts' was not present! Struct: " + toString());
+    }
     // check for sub-struct validity
   }
 
@@ -523,14 +630,14 @@
           case 3: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list56.size);
-                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list64.size);
+                @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                  _elem57 = new UpstreamLoadMessage();
-                  _elem57.read(iprot);
-                  struct.loads.add(_elem57);
+                  _elem65 = new UpstreamLoadMessage();
+                  _elem65.read(iprot);
+                  struct.loads.add(_elem65);
                 }
                 iprot.readListEnd();
               }
@@ -539,6 +646,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // PROMPTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list67 = iprot.readListBegin();
+                struct.prompts = new java.util.ArrayList<SentPromptMessage>(_list67.size);
+                @org.apache.thrift.annotation.Nullable SentPromptMessage _elem68;
+                for (int _i69 = 0; _i69 < _list67.size; ++_i69)
+                {
+                  _elem68 = new SentPromptMessage();
+                  _elem68.read(iprot);
+                  struct.prompts.add(_elem68);
+                }
+                iprot.readListEnd();
+              }
+              struct.setPromptsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -570,9 +696,21 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (UpstreamLoadMessage _iter59 : struct.loads)
+          for (UpstreamLoadMessage _iter70 : struct.loads)
+          {
+            _iter70.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.prompts != null) {
+        oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
+          for (SentPromptMessage _iter71 : struct.prompts)
           {
-            _iter59.write(oprot);
+            _iter71.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -600,9 +738,16 @@
       oprot.writeI64(struct.sequence);
       {
         oprot.writeI32(struct.loads.size());
-        for (UpstreamLoadMessage _iter60 : struct.loads)
+        for (UpstreamLoadMessage _iter72 : struct.loads)
+        {
+          _iter72.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.prompts.size());
+        for (SentPromptMessage _iter73 : struct.prompts)
         {
-          _iter60.write(oprot);
+          _iter73.write(oprot);
         }
       }
     }
@@ -615,17 +760,29 @@
       struct.sequence = iprot.readI64();
       struct.setSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list61.size);
-        @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem62;
-        for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+        org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list74.size);
+        @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem75;
+        for (int _i76 = 0; _i76 < _list74.size; ++_i76)
         {
-          _elem62 = new UpstreamLoadMessage();
-          _elem62.read(iprot);
-          struct.loads.add(_elem62);
+          _elem75 = new UpstreamLoadMessage();
+          _elem75.read(iprot);
+          struct.loads.add(_elem75);
         }
       }
       struct.setLoadsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.prompts = new java.util.ArrayList<SentPromptMessage>(_list77.size);
+        @org.apache.thrift.annotation.Nullable SentPromptMessage _elem78;
+        for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+        {
+          _elem78 = new SentPromptMessage();
+          _elem78.read(iprot);
+          struct.prompts.add(_elem78);
+        }
+      }
+      struct.setPromptsIsSet(true);
     }
   }
 
--- a/messages/src/main/thrift/messages.thrift
+++ b/messages/src/main/thrift/messages.thrift
@@ -147,9 +147,26 @@
   3: required i32 runningSends;
 }
 
-/** All that one router has under way; a higher sequence replaces the message before. */
+/** Part of a prompt, with the caller's id. */
+struct PromptPartMessage {
+  1: required string id;
+  2: required i32 tokens;
+}
+
+/** A prompt that was sent to an upstream, which keeps its parts for the model. */
+struct SentPromptMessage {
+  1: required i32 upstream;
+  2: required string model;
+  3: required list<PromptPartMessage> parts;
+}
+
+/**
+ * All that one router has under way, which a higher sequence replaces, and the prompts that it sent
+ * since the message before.
+ */
 struct RouterLoadMessage {
   1: required string router;
   2: required i64 sequence;
   3: required list<UpstreamLoadMessage> loads;
+  4: required list<SentPromptMessage> prompts;
 }
--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.router;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -8,12 +9,16 @@
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.messages.CodecException;
 import org.wigeonferry.node_runtime.ControlExecutor;
+import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.OwnLoad;
+import org.wigeonferry.routing.PromptPart;
 import org.wigeonferry.routing.RoutingState;
 import org.wigeonferry.routing.Send;
+import org.wigeonferry.routing.SentPrompt;
 
 /**
- * Tells the other routers of the availability zone what this one has under way.
+ * Tells the other routers of the availability zone what this one has under way, and which prompts
+ * it sent where.
  *
  * <p>Only routers of one zone exchange reports, since requests mostly stay in their zone and bytes
  * between zones are dear. Owned by the control thread.
@@ -32,6 +37,9 @@
      */
     private static final int LARGE_SEND_TOKENS = 500;
 
+    /** Keeps a report within a datagram; prompts beyond are left out. */
+    private static final int MAX_PROMPTS_PER_REPORT = 32;
+
     private static final long SEQUENCES_PER_MILLI = 1000;
 
     private final String name;
@@ -43,6 +51,7 @@
     private List<OwnLoad> lastLoads = List.of();
     private int intervalsSinceReport;
     private boolean reportScheduled;
+    private final List<SentPrompt> sentPrompts = new ArrayList<>();
 
     /**
      * Creates an exchange that sends nothing yet.
@@ -89,7 +98,11 @@
         control.scheduleWithFixedDelay(REPORT_INTERVAL, this::reportIfDue);
     }
 
-    private void onSend(Send send) {
+    private void onSend(Job job, Send send) {
+        List<PromptPart> parts = job.request().parts();
+        if (!parts.isEmpty() && sentPrompts.size() < MAX_PROMPTS_PER_REPORT) {
+            send.model().ifPresent(model -> sentPrompts.add(SentPrompt.of(send, model, parts)));
+        }
         if (send.weightedUncachedTokens() >= LARGE_SEND_TOKENS && !reportScheduled) {
             reportScheduled = true;
             control.schedule(Duration.ZERO, this::reportIfDue);
@@ -100,36 +113,39 @@
     void onDatagram(byte[] datagram) {
         try {
             LoadReport report = LoadReportMessages.decode(datagram);
-            control.execute(
-                    () ->
-                            state.peerLoads()
-                                    .apply(
-                                            report.router(),
-                                            report.sequence(),
-                                            report.loads(),
-                                            control.nanoTime()));
+            control.execute(() -> apply(report));
         } catch (CodecException e) {
             LOG.atDebug().addKeyValue("cause", e.toString()).log("load report can't be read");
         }
     }
 
+    private void apply(LoadReport report) {
+        state.peerLoads()
+                .apply(report.router(), report.sequence(), report.loads(), control.nanoTime());
+        report.prompts().forEach(state.upstreams()::recordPeerPrompt);
+    }
+
     private void reportIfDue() {
         reportScheduled = false;
         List<OwnLoad> loads = state.ownLoads();
         intervalsSinceReport++;
         boolean due =
                 !loads.equals(lastLoads)
+                        || !sentPrompts.isEmpty()
                         || (!loads.isEmpty()
                                 && intervalsSinceReport >= INTERVALS_PER_UNCHANGED_REPORT);
         List<HostAddress> receivers = peers.get();
         if (!due || receivers.isEmpty()) {
+            sentPrompts.clear();
             return;
         }
         sequence++;
         lastLoads = loads;
         intervalsSinceReport = 0;
         try {
-            byte[] datagram = LoadReportMessages.encode(new LoadReport(name, sequence, loads));
+            byte[] datagram =
+                    LoadReportMessages.encode(new LoadReport(name, sequence, loads, sentPrompts));
+            sentPrompts.clear();
             receivers.forEach(peer -> sender.send(peer, datagram));
         } catch (CodecException e) {
             LOG.atWarn().addKeyValue("cause", e.toString()).log("load report can't be written");
--- a/router/src/main/java/org/wigeonferry/router/LoadReportMessages.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadReportMessages.java
@@ -4,9 +4,13 @@
 import java.util.List;
 import org.wigeonferry.messages.CodecException;
 import org.wigeonferry.messages.MessageCodec;
+import org.wigeonferry.messages.gen.PromptPartMessage;
 import org.wigeonferry.messages.gen.RouterLoadMessage;
+import org.wigeonferry.messages.gen.SentPromptMessage;
 import org.wigeonferry.messages.gen.UpstreamLoadMessage;
 import org.wigeonferry.routing.OwnLoad;
+import org.wigeonferry.routing.PromptPart;
+import org.wigeonferry.routing.SentPrompt;
 
 /**
  * Encodes and decodes the load reports that routers exchange.
@@ -14,9 +18,7 @@
  * <p>Stateless and thread safe.
  */
 final class LoadReportMessages {
-    /**
-     * Largest numbers that are taken from a report, so that sums over all routers don't overflow.
-     */
+    /** Largest numbers that are taken from a report, so that sums over routers don't overflow. */
     private static final int MAX_TOKENS = 10_000_000;
 
     private static final int MAX_SENDS = 100_000;
@@ -30,8 +32,12 @@
                     new UpstreamLoadMessage(
                             load.upstreamKey(), load.queuedTokens(), load.runningSends()));
         }
+        List<SentPromptMessage> prompts = new ArrayList<>();
+        for (SentPrompt prompt : report.prompts()) {
+            prompts.add(encodePrompt(prompt));
+        }
         return MessageCodec.encode(
-                new RouterLoadMessage(report.router(), report.sequence(), loads));
+                new RouterLoadMessage(report.router(), report.sequence(), loads, prompts));
     }
 
     /** Decodes a report; throws if it is no report or a number is out of range. */
@@ -45,7 +51,27 @@
                             checkRange(load.getQueuedTokens(), MAX_TOKENS),
                             checkRange(load.getRunningSends(), MAX_SENDS)));
         }
-        return new LoadReport(message.getRouter(), message.getSequence(), loads);
+        List<SentPrompt> prompts = new ArrayList<>();
+        for (SentPromptMessage prompt : message.getPrompts()) {
+            prompts.add(decodePrompt(prompt));
+        }
+        return new LoadReport(message.getRouter(), message.getSequence(), loads, prompts);
+    }
+
+    private static SentPromptMessage encodePrompt(SentPrompt prompt) {
+        List<PromptPartMessage> parts = new ArrayList<>();
+        for (PromptPart part : prompt.parts()) {
+            parts.add(new PromptPartMessage(part.id(), part.tokens()));
+        }
+        return new SentPromptMessage(prompt.upstreamKey(), prompt.model(), parts);
+    }
+
+    private static SentPrompt decodePrompt(SentPromptMessage prompt) throws CodecException {
+        List<PromptPart> parts = new ArrayList<>();
+        for (PromptPartMessage part : prompt.getParts()) {
+            parts.add(new PromptPart(part.getId(), checkRange(part.getTokens(), MAX_TOKENS)));
+        }
+        return new SentPrompt(prompt.getUpstream(), prompt.getModel(), parts);
     }
 
     private static int checkRange(int value, int max) throws CodecException {
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -244,7 +244,7 @@
         for (RollOut rollOut : state.rollOuts().orders()) {
             state.rollOuts().nextState(rollOut, now).ifPresent(next -> report(rollOut, next));
             if (state.rollOuts().shouldStartMove(rollOut, now)) {
-                reporters.moves().report(rollOut, state.rollOuts().move(rollOut.service()));
+                reporters.moves().report(rollOut, state.rollOuts().move(rollOut.service()), now);
             }
         }
         publishIfDue();
--- a/router/src/main/java/org/wigeonferry/router/TrafficMoveReporter.java
+++ b/router/src/main/java/org/wigeonferry/router/TrafficMoveReporter.java
@@ -15,7 +15,8 @@
     /**
      * Writes the move, unless another router changed the stored one.
      *
+     * @param nowNanos start of the move, on the monotonic clock
      * @param known the stored move that this router knows; empty if there is none
      */
-    void report(RollOut rollOut, Optional<TrafficMove> known);
+    void report(RollOut rollOut, Optional<TrafficMove> known, long nowNanos);
 }
--- a/routing/src/main/java/org/wigeonferry/routing/PrefixCacheEstimate.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PrefixCacheEstimate.java
@@ -5,7 +5,8 @@
 import java.util.Map;
 
 /**
- * Estimate of an upstream's prefix cache, from the prompts that this router sent to it.
+ * Estimate of an upstream's prefix cache, from the prompts that this router and the others of its
+ * zone sent to it.
  *
  * <p>Invariant: after each {@link #recordPrompt} it holds at most {@code capacityTokens} tokens;
  * the least recently used parts are evicted first. Owned by the control thread.
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -167,7 +167,9 @@
         Optional<String> pinned =
                 job.sessionId()
                         .flatMap(session -> pins.releaseOf(job.service(), session, nowNanos));
-        boolean mayMove = elapsedFraction(order, nowNanos) >= MIN_ELAPSED_TO_MOVE_SESSIONS;
+        boolean mayMove =
+                move.isPresent()
+                        || elapsedFraction(order, nowNanos) >= MIN_ELAPSED_TO_MOVE_SESSIONS;
         if (pinned.filter(newRelease::equals).isPresent()
                 || (mayMove && isSelectedToMove(order, move, job, nowNanos))) {
             return List.of(onlyNew, onlyOld);
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -30,7 +30,7 @@
     private final PlacementRules placementRules;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final PoisonRequestRegister poisonRegister = new PoisonRequestRegister();
-    private Consumer<Send> sendListener = send -> {};
+    private BiConsumer<Job, Send> sendListener = (job, send) -> {};
     private Optional<RoutingConfig> config = Optional.empty();
     private LiveRouters routers;
 
@@ -83,7 +83,7 @@
     }
 
     /** Sets what is called, on the control thread, after each choice of an upstream. */
-    public void setSendListener(Consumer<Send> listener) {
+    public void setSendListener(BiConsumer<Job, Send> listener) {
         sendListener = listener;
     }
 
@@ -276,7 +276,7 @@
         job.onSend(send.upstream().incarnation());
         state.onSend(send, job.request(), nowNanos);
         rollOuts.onSend(send, job, nowNanos);
-        sendListener.accept(send);
+        sendListener.accept(job, send);
     }
 
     private ServiceState stateOf(String service) {
--- a/routing/src/main/java/org/wigeonferry/routing/TrafficMove.java
+++ b/routing/src/main/java/org/wigeonferry/routing/TrafficMove.java
@@ -7,6 +7,6 @@
  *
  * @param orderRevision revision of the roll-out order that the move belongs to
  * @param revision version of the move's row in the store
- * @param startNanos when this process learned of the move, on the monotonic clock
+ * @param startNanos when the move started, on the monotonic clock of this process
  */
 public record TrafficMove(String service, long orderRevision, long revision, long startNanos) {}
--- a/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
@@ -16,7 +16,7 @@
     private static final double MIN_ELAPSED_TO_START = 0.6;
 
     private static final double MIN_ELAPSED_TO_START_LATE = 0.8;
-    private static final double MOVE_FRACTION = 0.15;
+    private static final double MOVE_FRACTION = 0.2;
     private static final double MOVE_AND_DRAIN_FRACTION = 0.3;
     private static final double LATEST_COMPLETION = 0.92;
 
@@ -37,9 +37,13 @@
                         && RollOutCriteria.mayComplete(evidence, MIN_GOOD_ANSWERS_LATE));
     }
 
-    /** Share of the sessions that have moved, from 0 to 1; the same ones at all routers. */
+    /**
+     * Share of the sessions that have moved, from 0 to 1; the same ones at all routers. It grows
+     * slowly at first, while it is not known how the release bears load.
+     */
     static double movedShare(RollOut order, TrafficMove move, long nowNanos) {
-        return Math.min(1, fraction(order, move.startNanos(), nowNanos) / MOVE_FRACTION);
+        double progress = Math.min(1, fraction(order, move.startNanos(), nowNanos) / MOVE_FRACTION);
+        return progress * progress;
     }
 
     /** Whether the traffic has moved and the old upstreams had time to end their streams. */
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -44,6 +44,13 @@
         enginePartitionCurrent = false;
     }
 
+    /** Records a prompt that another router sent to an upstream, if it is known. */
+    public void recordPeerPrompt(SentPrompt prompt) {
+        upstreamStates.values().stream()
+                .filter(state -> state.key() == prompt.upstreamKey())
+                .forEach(state -> state.recordPrompt(prompt.model(), prompt.parts()));
+    }
+
     /** Adds an upstream, or updates a known one; a new incarnation replaces the old one. */
     public void put(UpstreamInstance upstream, long nowNanos) {
         UpstreamState state = upstreamStates.get(upstream.id());
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -145,7 +146,12 @@
         runningSends++;
         queuedTokens += send.weightedUncachedTokens();
         recentSends.add(nowNanos);
-        send.model().ifPresent(model -> prefixCache.recordPrompt(model, request.parts()));
+        send.model().ifPresent(model -> recordPrompt(model, request.parts()));
+    }
+
+    /** Records that the upstream will have the parts of a prompt in its prefix cache. */
+    void recordPrompt(String model, List<PromptPart> parts) {
+        prefixCache.recordPrompt(model, parts);
     }
 
     /** Whether no send that started later has been answered or has ended. */
