--- a/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
+++ b/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
@@ -9,19 +9,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.messages.CodecException;
-import org.wigeonferry.routing.Freshness;
-import org.wigeonferry.routing.LiveRouters;
-import org.wigeonferry.routing.ModelCascade;
 import org.wigeonferry.routing.OwnLoad;
 import org.wigeonferry.routing.PromptPart;
-import org.wigeonferry.routing.RoutingLimits;
 import org.wigeonferry.routing.RoutingState;
 import org.wigeonferry.routing.SentPrompt;
 import org.wigeonferry.stand_ins.VirtualControl;
@@ -32,22 +27,7 @@
 
     private final VirtualTime time = new VirtualTime();
     private final List<byte[]> sent = new ArrayList<>();
-    private final RoutingState state =
-            new RoutingState(
-                    "zone",
-                    new RoutingLimits(
-                            1,
-                            50,
-                            Duration.ofSeconds(10),
-                            1,
-                            0,
-                            0.1,
-                            Duration.ofSeconds(5),
-                            Duration.ofSeconds(2)),
-                    new Freshness(Duration.ofMinutes(5), Duration.ofSeconds(5)),
-                    new ModelCascade(0),
-                    () -> 0.5,
-                    new LiveRouters("router", Set.of(), 1));
+    private final RoutingState state = RoutingStates.empty();
     private final LoadExchange exchange =
             new LoadExchange(
                     "router",
--- a/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
@@ -6,24 +6,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.routing.Admitted;
-import org.wigeonferry.routing.Freshness;
 import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.Job;
-import org.wigeonferry.routing.LiveRouters;
-import org.wigeonferry.routing.ModelCascade;
 import org.wigeonferry.routing.RequestKind;
 import org.wigeonferry.routing.RollOut;
 import org.wigeonferry.routing.Route;
 import org.wigeonferry.routing.RoutedRequest;
 import org.wigeonferry.routing.RoutingConfig;
-import org.wigeonferry.routing.RoutingLimits;
 import org.wigeonferry.routing.RoutingState;
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendOutcome;
@@ -35,7 +30,6 @@
 import org.wigeonferry.stand_ins.VirtualTime;
 
 class RouterControlTest {
-    private static final Duration REMOVAL_DELAY = Duration.ofSeconds(2);
     private static final String UPSTREAM_ID = "a";
 
     private final VirtualTime time = new VirtualTime();
@@ -45,24 +39,7 @@
 
     @BeforeEach
     void start() {
-        RoutingLimits limits =
-                new RoutingLimits(
-                        1,
-                        50,
-                        Duration.ofSeconds(10),
-                        1,
-                        0,
-                        0.1,
-                        Duration.ofSeconds(5),
-                        REMOVAL_DELAY);
-        RoutingState state =
-                new RoutingState(
-                        "zone",
-                        limits,
-                        new Freshness(Duration.ofMinutes(5), Duration.ofSeconds(5)),
-                        new ModelCascade(0),
-                        () -> 0.5,
-                        new LiveRouters("router", Set.of(), 1));
+        RoutingState state = RoutingStates.empty();
         router =
                 new RouterControl(
                         "router",
@@ -120,7 +97,7 @@
         time.run(Duration.ofSeconds(4));
         router.onStoreAnswered();
         router.onUpstreamRemoved(UPSTREAM_ID);
-        time.run(REMOVAL_DELAY.minusMillis(600));
+        time.run(RoutingStates.REMOVAL_DELAY.minusMillis(600));
         assertThat(router.state().upstreams().upstream(UPSTREAM_ID)).isPresent();
         time.run(Duration.ofMillis(1200));
         assertThat(router.state().upstreams().upstream(UPSTREAM_ID)).isEmpty();
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -9,18 +9,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.NodeMetrics;
-import org.wigeonferry.routing.Freshness;
 import org.wigeonferry.routing.Incarnation;
-import org.wigeonferry.routing.LiveRouters;
-import org.wigeonferry.routing.ModelCascade;
 import org.wigeonferry.routing.RequestKind;
 import org.wigeonferry.routing.Route;
 import org.wigeonferry.routing.RoutingConfig;
-import org.wigeonferry.routing.RoutingLimits;
 import org.wigeonferry.routing.RoutingState;
 import org.wigeonferry.routing.ServiceTraits;
 import org.wigeonferry.routing.UpstreamInstance;
@@ -39,22 +34,7 @@
 
     RouterHarness(List<ScriptedUpstream> upstreams) throws Exception {
         sender = new JettySender(Duration.ofMillis(500));
-        RoutingState state =
-                new RoutingState(
-                        "zone",
-                        new RoutingLimits(
-                                1,
-                                50,
-                                Duration.ofSeconds(10),
-                                1,
-                                0,
-                                0.1,
-                                Duration.ofSeconds(5),
-                                Duration.ofSeconds(2)),
-                        new Freshness(Duration.ofMinutes(5), Duration.ofSeconds(5)),
-                        new ModelCascade(0),
-                        () -> 0.5,
-                        new LiveRouters("router", Set.of(), 1));
+        RoutingState state = RoutingStates.empty();
         RouterControl router =
                 new RouterControl(
                         "router",
