--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -114,8 +115,9 @@
         try {
             LoadReport report = LoadReportMessages.decode(datagram);
             control.execute(() -> apply(report));
-        } catch (CodecException e) {
-            LOG.atDebug().addKeyValue("cause", e.toString()).log("load report can't be read");
+        } catch (CodecException | RejectedExecutionException e) {
+            // The next report replaces one that is dropped while the control thread is busy.
+            LOG.atDebug().addKeyValue("cause", e.toString()).log("load report dropped");
         }
     }
 
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -37,11 +37,6 @@
      */
     private static final double FIRST_EVENT_TIMEOUT_SHARE = 0.5;
 
-    /**
-     * Added to the longest gap that the route allows between events, before resending elsewhere.
-     */
-    private static final Duration EVENT_GAP_MARGIN = Duration.ofMillis(100);
-
     /** Interval at which it is checked again whether a resend is allowed. */
     private static final Duration SILENCE_RECHECK_INTERVAL = Duration.ofMillis(300);
 
