--- a/router/src/main/java/org/wigeonferry/router/DatagramSocketPair.java
+++ b/router/src/main/java/org/wigeonferry/router/DatagramSocketPair.java
@@ -20,7 +20,9 @@
  */
 public final class DatagramSocketPair implements DatagramSender, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger("peers");
-    private static final int MAX_DATAGRAM_BYTES = 8 << 10;
+
+    /** Longer datagrams are cut when they are received. */
+    static final int MAX_DATAGRAM_BYTES = 8 << 10;
 
     private final DatagramChannel receiver;
     private final DatagramChannel transmitter;
--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -38,7 +38,7 @@
      */
     private static final int LARGE_SEND_TOKENS = 500;
 
-    /** Keeps a report within a datagram; prompts beyond are left out. */
+    /** Prompts beyond are left out. */
     private static final int MAX_PROMPTS_PER_REPORT = 32;
 
     private static final long SEQUENCES_PER_MILLI = 1000;
@@ -145,12 +145,21 @@
         lastLoads = loads;
         intervalsSinceReport = 0;
         try {
-            byte[] datagram =
-                    LoadReportMessages.encode(new LoadReport(name, sequence, loads, sentPrompts));
-            sentPrompts.clear();
+            byte[] datagram = encodeWhatFits(loads);
             receivers.forEach(peer -> sender.send(peer, datagram));
         } catch (CodecException e) {
             LOG.atWarn().addKeyValue("cause", e.toString()).log("load report can't be written");
+        } finally {
+            sentPrompts.clear();
         }
     }
+
+    /** Leaves the prompts out if they don't fit: a caller may send any number of long parts. */
+    private byte[] encodeWhatFits(List<OwnLoad> loads) throws CodecException {
+        byte[] datagram =
+                LoadReportMessages.encode(new LoadReport(name, sequence, loads, sentPrompts));
+        return datagram.length <= DatagramSocketPair.MAX_DATAGRAM_BYTES
+                ? datagram
+                : LoadReportMessages.encode(new LoadReport(name, sequence, loads, List.of()));
+    }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
@@ -13,18 +13,23 @@
  * these reports prompts queue at some upstreams while others are idle. Reports may be lost; each
  * holds all that its router has under way, and counts for {@link #TTL}.
  *
- * <p>Invariant: the sums are those of the unexpired reports. Owned by the control thread.
+ * <p>Invariant: the sums are those of the unexpired reports, at most {@link #MAX_ROUTERS}. Owned by
+ * the control thread.
  */
 public final class PeerLoads {
     private static final Duration TTL = Duration.ofSeconds(1);
 
+    /** Reports of further routers are ignored; anyone may send one, under any name. */
+    static final int MAX_ROUTERS = 64;
+
     private final Map<String, PeerReport> reports = new HashMap<>();
     private final Map<Integer, OwnLoad> sums = new HashMap<>();
 
     /** Replaces a router's report, unless a later one is known. */
     public void apply(String router, long sequence, List<OwnLoad> loads, long nowNanos) {
         PeerReport known = reports.get(router);
-        if (known != null && known.sequence() >= sequence) {
+        boolean outdated = known != null && known.sequence() >= sequence;
+        if (outdated || (known == null && reports.size() >= MAX_ROUTERS)) {
             return;
         }
         remove(router);
--- a/routing/src/main/java/org/wigeonferry/routing/PrefixCacheEstimate.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PrefixCacheEstimate.java
@@ -8,10 +8,14 @@
  * Estimate of an upstream's prefix cache, from the prompts that this router and the others of its
  * zone sent to it.
  *
- * <p>Invariant: after each {@link #recordPrompt} it holds at most {@code capacityTokens} tokens;
- * the least recently used parts are evicted first. Owned by the control thread.
+ * <p>Invariant: after each {@link #recordPrompt} it holds at most {@code capacityTokens} tokens and
+ * {@link #MAX_PARTS} parts; the least recently used parts are evicted first. Owned by the control
+ * thread.
  */
 final class PrefixCacheEstimate {
+    /** Bounds the memory if parts have few tokens, or none. */
+    static final int MAX_PARTS = 8192;
+
     private int capacityTokens;
     private final Map<String, Integer> parts = new LinkedHashMap<>(16, 0.75f, true);
     private long tokens;
@@ -44,7 +48,7 @@
             tokens += part.tokens() - (previousTokens == null ? 0 : previousTokens);
         }
         var oldest = parts.entrySet().iterator();
-        while (tokens > capacityTokens && oldest.hasNext()) {
+        while ((tokens > capacityTokens || parts.size() > MAX_PARTS) && oldest.hasNext()) {
             tokens -= oldest.next().getValue();
             oldest.remove();
         }
--- a/routing/src/test/java/org/wigeonferry/routing/PeerLoadsTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/PeerLoadsTest.java
@@ -43,6 +43,16 @@
         assertThat(loads.queuedTokens(7)).isEqualTo(9);
     }
 
+    @Test
+    void numberOfRoutersIsBounded() {
+        for (int i = 0; i < 2 * PeerLoads.MAX_ROUTERS; i++) {
+            loads.apply("r" + i, 1, List.of(new OwnLoad(7, 1, 1)), 0);
+        }
+        assertThat(loads.queuedTokens(7)).isEqualTo(PeerLoads.MAX_ROUTERS);
+        loads.apply("r0", 2, List.of(new OwnLoad(7, 11, 1)), 0);
+        assertThat(loads.queuedTokens(7)).isEqualTo(PeerLoads.MAX_ROUTERS + 10);
+    }
+
     /** Against a model that adds up the last reports anew each time. */
     @Test
     void sumsAreThoseOfTheLastReports() {
