--- a/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
+++ b/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -15,9 +16,13 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.routing.Admitted;
+import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.OwnLoad;
 import org.wigeonferry.routing.PromptPart;
+import org.wigeonferry.routing.RoutedRequest;
 import org.wigeonferry.routing.RoutingState;
+import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SentPrompt;
 import org.wigeonferry.stand_ins.VirtualControl;
 import org.wigeonferry.stand_ins.VirtualTime;
@@ -68,6 +73,40 @@
         assertThat(LoadReportMessages.decode(LoadReportMessages.encode(report))).isEqualTo(report);
     }
 
+    /** A caller may send prompt parts of any length; the loads have to get through all the same. */
+    @Test
+    void promptsThatDoNotFitAreLeftOut() throws Exception {
+        state.updateConfig(RouterControlTest.config());
+        state.freshness().recordConfirmation(time.nanoTime(), 0);
+        state.upstreams().put(RouterControlTest.upstream(), time.nanoTime());
+        exchange.start();
+        for (int i = 0; i < 10; i++) {
+            Job job = ((Admitted) state.admit(longPrompt(i), time.nanoTime(), 0)).job();
+            assertThat(state.routeJob(job, "", time.nanoTime(), 0)).isInstanceOf(Send.class);
+        }
+        time.run(Duration.ofMillis(300));
+        assertThat(sent).isNotEmpty();
+        assertThat(sent.get(0).length).isLessThan(DatagramSocketPair.MAX_DATAGRAM_BYTES);
+        LoadReport report = LoadReportMessages.decode(sent.get(0));
+        assertThat(report.prompts()).isEmpty();
+        assertThat(report.loads().get(0).runningSends()).isEqualTo(10);
+    }
+
+    private static RoutedRequest longPrompt(int number) {
+        return new RoutedRequest(
+                "id" + number,
+                "example",
+                "/desk/x",
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.of("model"),
+                List.of(new PromptPart("x".repeat(2000), 10)),
+                10,
+                0,
+                Optional.empty());
+    }
+
     @Test
     void numbersOutOfRangeAreNoReport() throws Exception {
         for (OwnLoad odd :
--- a/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
@@ -162,7 +162,7 @@
                 Optional.empty());
     }
 
-    private static RoutingConfig config() {
+    static RoutingConfig config() {
         return RoutingConfig.builder(1)
                 .addService(new ServiceTraits("desk", 10, Duration.ZERO, 0, Optional.empty()))
                 .addRoute(
@@ -182,7 +182,7 @@
                 .build();
     }
 
-    private static UpstreamInstance upstream() {
+    static UpstreamInstance upstream() {
         return new UpstreamInstance(
                 new Incarnation(UPSTREAM_ID, 1),
                 new HostAddress("127.0.0.1", 1),
--- a/routing/src/main/java/org/wigeonferry/routing/PrefixCacheEstimate.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PrefixCacheEstimate.java
@@ -54,6 +54,10 @@
         }
     }
 
+    int partCount() {
+        return parts.size();
+    }
+
     private static String key(String model, PromptPart part) {
         return model + '/' + part.id();
     }
--- a/routing/src/test/java/org/wigeonferry/routing/PrefixCacheEstimateTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/PrefixCacheEstimateTest.java
@@ -20,6 +20,16 @@
         assertThat(cache.cachedTokens("large", List.of(SYSTEM))).isZero();
     }
 
+    @Test
+    void partsWithoutTokensAreBounded() {
+        for (int i = 0; i <= PrefixCacheEstimate.MAX_PARTS; i++) {
+            cache.recordPrompt("small", List.of(new PromptPart("empty" + i, 0), SYSTEM));
+        }
+        List<PromptPart> first = List.of(SYSTEM, new PromptPart("empty0", 0));
+        assertThat(cache.partCount()).isEqualTo(PrefixCacheEstimate.MAX_PARTS);
+        assertThat(cache.cachedTokens("small", first)).isEqualTo(50);
+    }
+
     @Test
     void leastRecentlyUsedPartsAreEvictedFirst() {
         cache.recordPrompt("small", List.of(SYSTEM, SUBJECT));
--- a/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -235,36 +234,6 @@
         assertThat(mayResendAfter(job, send, Duration.ofMillis(2500))).isTrue();
     }
 
-    /** The load of sessions that hop between routers: an engine read their prompt for another. */
-    @Test
-    void promptGoesWhereAnotherRouterSentItsSharedPart() {
-        for (String id : List.of("a", "b", "c", "d", "e", "f")) {
-            // Each of a release of its own, so that no engine is kept for the other model.
-            state.upstreams().put(Fixtures.upstream(id, "model", id, 0), NOW_NANOS);
-        }
-        List<PromptPart> parts =
-                List.of(new PromptPart("shared", 4000), new PromptPart("own", 100));
-        for (String id : List.of("d", "b")) {
-            state.upstreams().recordPeerPrompt(new SentPrompt(Hashes.key(id), "small", parts));
-            RoutedRequest request =
-                    new RoutedRequest(
-                            "id",
-                            "example",
-                            "/chat/x",
-                            Optional.of("secret"),
-                            Optional.empty(),
-                            Optional.empty(),
-                            Optional.of("small"),
-                            parts,
-                            4100,
-                            10,
-                            Optional.empty());
-            Job job = Fixtures.admit(state, request, NOW_NANOS);
-            assertThat(((Send) Fixtures.place(state, job, NOW_NANOS)).upstream().id())
-                    .isEqualTo(id);
-        }
-    }
-
     private boolean mayResendAfter(Job job, Send send, Duration silence) {
         return state.mayResend(job, send, false, silence, NOW_NANOS + silence.toNanos());
     }
