--- a/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
@@ -12,12 +12,19 @@
  * Stateless and thread safe.
  */
 final class TrafficMoveSchedule {
-    /** Fractions of a roll-out's duration. */
+    /** Fraction of a roll-out's duration from which the move may start. */
     private static final double MIN_ELAPSED_TO_START = 0.6;
 
+    /** Fraction of the duration from which the move may start with fewer answers. */
     private static final double MIN_ELAPSED_TO_START_LATE = 0.8;
+
+    /** Fraction of the duration in which all sessions move. */
     private static final double MOVE_FRACTION = 0.2;
+
+    /** Fraction of the duration from the start of the move to the completion. */
     private static final double MOVE_AND_DRAIN_FRACTION = 0.3;
+
+    /** Fraction of the duration at which a good release is completed, moved or not. */
     private static final double LATEST_COMPLETION = 0.92;
 
     /** Successful answers needed to start the move. */
