--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
@@ -10,6 +11,7 @@
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.routing.Account;
 import org.wigeonferry.routing.Job;
+import org.wigeonferry.routing.PromptPart;
 import org.wigeonferry.routing.RefusalCause;
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendOutcome;
@@ -23,6 +25,9 @@
 final class CallLog {
     private static final Logger LOG = LoggerFactory.getLogger("call");
 
+    /** Prompt parts beyond are left out of a log line. */
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final NodeMetrics metrics;
     private final Job job;
     private final long startNanos;
@@ -46,11 +51,18 @@
                 .log("placed");
     }
 
-    /** Logs the end of a send; {@code first_ms} is -1 if no byte of the body arrived. */
+    /**
+     * Logs the end of a send; {@code first_ms} is -1 if no byte of the body arrived. The prompt's
+     * parts are logged unless an answer was delivered, as one of them may have crashed the upstream.
+     */
     void logSendEnded(SendReport report, Optional<ResponseHead> head, Optional<Throwable> cause) {
         SendOutcome outcome = report.outcome();
         metrics.count("sends_" + lowerCase(outcome.name()), "service", job.service());
-        newLogEvent(outcome.isFailure() ? Level.WARN : Level.INFO)
+        LoggingEventBuilder event = newLogEvent(outcome.isFailure() ? Level.WARN : Level.INFO);
+        if (!outcome.isCompleteAnswer()) {
+            event.addKeyValue("parts", partIds());
+        }
+        event
                 .addKeyValue("upstream", report.send().upstream().id())
                 .addKeyValue("peer", report.send().upstream().address())
                 .addKeyValue("outcome", lowerCase(outcome.name()))
@@ -96,6 +108,13 @@
         newLogEvent(Level.WARN).log("content refused from now on: it broke too many upstreams");
     }
 
+    private String partIds() {
+        return job.request().parts().stream()
+                .limit(MAX_LOGGED_PARTS)
+                .map(PromptPart::id)
+                .collect(Collectors.joining(","));
+    }
+
     private LoggingEventBuilder newFinalLogEvent(Level level) {
         return newLogEvent(level)
                 .addKeyValue("runs", job.possibleRuns())
