Attribute crashes of upstreams to what lost requests have in common

Cause: poison requests were recognised by a digest of the whole request, counted only where no head of an answer had arrived. These requests are never alike, and crash after the head. So nothing was ever counted. Class of fault: evidence keyed by identity where the cause is something shared, and evidence dropped by a condition (no head) that does not follow from the cause. Change: PoisonRegister replaces PoisonRequestRegister. Suspects of a crash are the digest and all parts but the last of each send that was lost before its answer had lasted 300 ms; an answer clears its suspects; the suspect that explains most crashes is condemned, and what it explains does not count against others; equal suspects are tried again by one router, one request at a time. Crashes carry keys that are the same at all routers and are merged, so that a restart loses no evidence. The tests of the old register are kept with the new calls and the same times and counts; a loss count reported by a peer is now a set of crash keys of the same size. Evidence: DeadlyPromptPartTest fails on (8 of 8 requests reach an upstream; at most 5 may) and passes now. RouterControl gives its roll-out part to RollOutDriver.

--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -53,17 +53,17 @@
 
     /**
      * Logs the end of a send; {@code first_ms} is -1 if no byte of the body arrived. The prompt's
-     * parts are logged unless an answer was delivered, as one of them may have crashed the upstream.
+     * parts are logged unless an answer was delivered, as one of them may have crashed the
+     * upstream.
      */
     void logSendEnded(SendReport report, Optional<ResponseHead> head, Optional<Throwable> cause) {
         SendOutcome outcome = report.outcome();
         metrics.count("sends_" + lowerCase(outcome.name()), "service", job.service());
         LoggingEventBuilder event = newLogEvent(outcome.isFailure() ? Level.WARN : Level.INFO);
         if (!outcome.isCompleteAnswer()) {
-            event.addKeyValue("parts", partIds());
+            event = event.addKeyValue("parts", partIds());
         }
-        event
-                .addKeyValue("upstream", report.send().upstream().id())
+        event.addKeyValue("upstream", report.send().upstream().id())
                 .addKeyValue("peer", report.send().upstream().address())
                 .addKeyValue("outcome", lowerCase(outcome.name()))
                 .addKeyValue(
--- a/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
+++ b/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
@@ -1,6 +1,7 @@
 package org.wigeonferry.router;
 
 import java.util.Map;
+import org.wigeonferry.routing.PoisonNews;
 import org.wigeonferry.routing.ReleaseEvidence;
 
 /**
@@ -16,6 +17,9 @@
     /** Fewest checks from one report to the next if the evidence of a roll-out has changed. */
     private static final int MIN_CHECKS_PER_CHANGED_REPORT = 2;
 
+    /** Fewest checks from one report to the next for the first crash of a suspect. */
+    private static final int MIN_CHECKS_PER_FIRST_CRASH = 4;
+
     /**
      * Growth of the number of timed answers that is reported before the period is over. The
      * precision of a mean depends on the ratio of the counts.
@@ -23,34 +27,37 @@
     private static final double REPORTED_GROWTH = 1.5;
 
     private int checkCount;
-    private Map<String, Integer> publishedLossCounts = Map.of();
+    private int checksSinceReport;
     private Map<String, ReleaseEvidence> publishedEvidence = Map.of();
 
     /**
      * Whether a report is due at this check; it then counts as published.
      *
      * <p>It is due if the period has passed, if the evidence of a roll-out shows more failures or
-     * notably more answers, or, at once, if a request digest has caused more than one connection
-     * loss. The first check announces this router to the others; later reports keep it from being
-     * counted as gone.
+     * notably more answers, or if poison requests may have crashed upstreams: at once if crashes
+     * repeat, and soon for a first one, which only counts together with those of other routers. The
+     * first check announces this router to the others; later reports keep it from being counted as
+     * gone.
      *
-     * @param lossCounts connection losses by request digest
+     * @param poisonNews what the last report did not tell of poison requests
      * @param evidence evidence of the new releases in running roll-outs, by service
      */
-    boolean takeDue(Map<String, Integer> lossCounts, Map<String, ReleaseEvidence> evidence) {
-        boolean repeatedLoss =
-                !lossCounts.equals(publishedLossCounts)
-                        && lossCounts.values().stream().anyMatch(losses -> losses > 1);
+    boolean takeDue(PoisonNews poisonNews, Map<String, ReleaseEvidence> evidence) {
+        boolean crashesAreNews =
+                poisonNews == PoisonNews.REPEATED_CRASH
+                        || (poisonNews == PoisonNews.FIRST_CRASH
+                                && checksSinceReport >= MIN_CHECKS_PER_FIRST_CRASH);
         boolean evidenceChanged =
                 checkCount % MIN_CHECKS_PER_CHANGED_REPORT == 0
                         && evidence.entrySet().stream()
                                 .anyMatch(entry -> isNews(entry.getKey(), entry.getValue()));
         boolean periodPassed = checkCount % CHECKS_PER_PERIODIC_REPORT == 0;
         checkCount++;
-        if (!repeatedLoss && !evidenceChanged && !periodPassed) {
+        checksSinceReport++;
+        if (!crashesAreNews && !evidenceChanged && !periodPassed) {
             return false;
         }
-        publishedLossCounts = lossCounts;
+        checksSinceReport = 0;
         publishedEvidence = evidence;
         return true;
     }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -1,19 +1,16 @@
 package org.wigeonferry.router;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.node_runtime.ControlExecutor;
+import org.wigeonferry.routing.Condemnation;
 import org.wigeonferry.routing.LiveRouters;
-import org.wigeonferry.routing.ReleaseEvidence;
+import org.wigeonferry.routing.PoisonRegister;
 import org.wigeonferry.routing.RollOut;
-import org.wigeonferry.routing.RollOutEvidence;
-import org.wigeonferry.routing.RollOutState;
 import org.wigeonferry.routing.RollOutStatus;
 import org.wigeonferry.routing.RoutingConfig;
 import org.wigeonferry.routing.RoutingState;
@@ -46,6 +43,7 @@
     private final RoutingState state;
     private final Optional<PeerAddress> peerAddress;
     private final StoreReporters reporters;
+    private final RollOutDriver rollOutDriver;
     private final PeerDirectory peers;
     private final LiveRouterTracker liveRouters;
     private final ReportSchedule reportSchedule = new ReportSchedule();
@@ -70,7 +68,9 @@
         this.state = state;
         this.peerAddress = peerAddress;
         this.reporters = reporters;
+        rollOutDriver = new RollOutDriver(state.rollOuts(), reporters);
         peers = new PeerDirectory(name, peerAddress);
+        state.poisonRegister().setCondemnationListener(RouterControl::logCondemned);
         liveRouters = new LiveRouterTracker(name, ROUTER_TIMEOUT, ASSUMED_ROUTER_COUNT);
     }
 
@@ -202,18 +202,20 @@
     }
 
     /**
-     * Applies a router's report. The own report counts only as a sign that this router is live; its
-     * data are not applied, as the state has them already.
+     * Applies a router's report. The own report counts only as a sign that this router is live, but
+     * for what an earlier life of this router knew of poison requests.
      */
     public void onRouterReport(String router, RouterReport report) {
         liveRouters.recordReport(router, control.nanoTime());
-        if (router.equals(name)) {
+        boolean own = router.equals(name);
+        if (!own || heartbeat == 0) {
+            state.poisonRegister().applyReport(report.poison(), control.nanoTime());
+        }
+        if (own) {
             return;
         }
         peers.onReport(router, report.peerAddress());
         state.rollOuts().applyPeerEvidence(router, report.evidence());
-        state.poisonRegister()
-                .applyPeerLossCounts(router, report.connectionLossCounts(), control.nanoTime());
     }
 
     /** The other live routers of the availability zone that take load reports. */
@@ -241,20 +243,16 @@
         if (!storeAnswers) {
             return;
         }
-        for (RollOut rollOut : state.rollOuts().orders()) {
-            state.rollOuts().nextState(rollOut, now).ifPresent(next -> report(rollOut, next));
-            if (state.rollOuts().shouldStartMove(rollOut, now)) {
-                reporters.moves().report(rollOut, state.rollOuts().move(rollOut.service()), now);
-            }
-        }
+        rollOutDriver.decide(now);
         publishIfDue();
     }
 
     private void publishIfDue() {
-        Map<String, Integer> lossCounts = state.poisonRegister().ownLossCounts();
-        if (!reportSchedule.takeDue(lossCounts, ownEvidenceOfNewReleases())) {
+        PoisonRegister poison = state.poisonRegister();
+        if (!reportSchedule.takeDue(poison.news(), rollOutDriver.ownEvidenceOfNewReleases())) {
             return;
         }
+        poison.onPublished();
         heartbeat++;
         reporters
                 .routerReports()
@@ -262,38 +260,20 @@
                         new RouterReport(
                                 heartbeat,
                                 state.rollOuts().ownEvidence(),
-                                lossCounts,
+                                poison.report(control.nanoTime()),
                                 peerAddress));
     }
 
-    /** This router's evidence of the new releases in running roll-outs, by service. */
-    private Map<String, ReleaseEvidence> ownEvidenceOfNewReleases() {
-        Map<String, ReleaseEvidence> evidenceByService = new HashMap<>();
-        Map<String, RollOutEvidence> evidence = state.rollOuts().ownEvidence();
-        for (RollOut rollOut : state.rollOuts().orders()) {
-            if (!isFinished(rollOut)) {
-                evidenceByService.put(rollOut.service(), evidence.get(rollOut.service()).fresh());
-            }
-        }
-        return evidenceByService;
-    }
-
     /** Whether a roll-out is running. */
     public boolean isRollOutRunning() {
-        return state.rollOuts().orders().stream().anyMatch(rollOut -> !isFinished(rollOut));
+        return rollOutDriver.isRollOutRunning();
     }
 
-    private boolean isFinished(RollOut rollOut) {
-        return state.rollOuts().state(rollOut).filter(s -> s != RollOutState.RUNNING).isPresent();
-    }
-
-    private void report(RollOut rollOut, RollOutState next) {
-        LOG.atInfo()
-                .addKeyValue("service", rollOut.service())
-                .addKeyValue("release", rollOut.release())
-                .addKeyValue("state", next)
-                .addKeyValue("evidence", state.rollOuts().totalEvidence(rollOut))
-                .log("roll-out decided");
-        reporters.rollOuts().report(rollOut, next, state.rollOuts().status(rollOut.service()));
+    private static void logCondemned(String suspect, Condemnation condemnation) {
+        LOG.atWarn()
+                .addKeyValue("suspect", suspect)
+                .addKeyValue("crashes", condemnation.crashes())
+                .addKeyValue("equals", String.join(",", condemnation.equals()))
+                .log("requests refused: they crash upstreams");
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterReport.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterReport.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import org.wigeonferry.routing.PoisonReport;
 import org.wigeonferry.routing.RollOutEvidence;
 
 /**
@@ -12,17 +13,15 @@
  * @param heartbeat rises with each report, so that each report of a live router differs from the
  *     one before
  * @param evidence what this router measured of the releases in roll-outs, by service
- * @param connectionLossCounts consecutive connection losses at this router, by the digest of the
- *     request that was being served
+ * @param poison what this router knows of poison requests
  * @param peerAddress where the router takes load reports; empty if it takes none
  */
 public record RouterReport(
         long heartbeat,
         Map<String, RollOutEvidence> evidence,
-        Map<String, Integer> connectionLossCounts,
+        PoisonReport poison,
         Optional<PeerAddress> peerAddress) {
     public RouterReport {
         evidence = Map.copyOf(evidence);
-        connectionLossCounts = Map.copyOf(connectionLossCounts);
     }
 }
--- a/router/src/test/java/org/wigeonferry/router/ReportScheduleTest.java
+++ b/router/src/test/java/org/wigeonferry/router/ReportScheduleTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.wigeonferry.routing.PoisonNews;
 import org.wigeonferry.routing.ReleaseEvidence;
 
 class ReportScheduleTest {
@@ -22,33 +23,44 @@
     void goodAnswersAreReportedByTheirGrowth() {
         int reports = 0;
         for (int check = 0; check < CHECKS_IN_24_SECONDS; check++) {
-            reports += schedule.takeDue(Map.of(), evidence(check, 0)) ? 1 : 0;
+            reports += schedule.takeDue(PoisonNews.NONE, evidence(check, 0)) ? 1 : 0;
         }
         assertThat(reports).isBetween(5, 12);
     }
 
     @Test
     void failureIsReportedWithinTwoChecks() {
-        schedule.takeDue(Map.of(), evidence(0, 0));
-        schedule.takeDue(Map.of(), evidence(0, 0));
-        boolean dueAtFirstCheck = schedule.takeDue(Map.of(), evidence(0, 1));
-        boolean dueAtSecondCheck = schedule.takeDue(Map.of(), evidence(0, 1));
+        schedule.takeDue(PoisonNews.NONE, evidence(0, 0));
+        schedule.takeDue(PoisonNews.NONE, evidence(0, 0));
+        boolean dueAtFirstCheck = schedule.takeDue(PoisonNews.NONE, evidence(0, 1));
+        boolean dueAtSecondCheck = schedule.takeDue(PoisonNews.NONE, evidence(0, 1));
         assertThat(dueAtFirstCheck || dueAtSecondCheck).isTrue();
     }
 
     @Test
-    void repeatedLossIsReportedAtOnce() {
-        schedule.takeDue(Map.of(), Map.of());
-        assertThat(schedule.takeDue(Map.of("digest", 1), Map.of())).isFalse();
-        assertThat(schedule.takeDue(Map.of("digest", 2), Map.of())).isTrue();
-        assertThat(schedule.takeDue(Map.of("digest", 2), Map.of())).isFalse();
+    void repeatedCrashIsReportedAtOnce() {
+        schedule.takeDue(PoisonNews.NONE, Map.of());
+        assertThat(schedule.takeDue(PoisonNews.FIRST_CRASH, Map.of())).isFalse();
+        assertThat(schedule.takeDue(PoisonNews.REPEATED_CRASH, Map.of())).isTrue();
+        assertThat(schedule.takeDue(PoisonNews.NONE, Map.of())).isFalse();
+    }
+
+    /** Each router may see only one crash of a poison request; two seconds are four checks. */
+    @Test
+    void firstCrashIsReportedWithinTwoSeconds() {
+        schedule.takeDue(PoisonNews.NONE, Map.of());
+        boolean due = false;
+        for (int check = 0; check < 4; check++) {
+            due |= schedule.takeDue(PoisonNews.FIRST_CRASH, Map.of());
+        }
+        assertThat(due).isTrue();
     }
 
     @Test
     void quietRouterReportsPeriodically() {
         int reports = 0;
         for (int check = 0; check < CHECKS_IN_24_SECONDS; check++) {
-            reports += schedule.takeDue(Map.of(), Map.of()) ? 1 : 0;
+            reports += schedule.takeDue(PoisonNews.NONE, Map.of()) ? 1 : 0;
         }
         assertThat(reports).isEqualTo(4);
     }
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -0,0 +1,259 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.stream.Collectors;
+
+/**
+ * Recognises poison requests, which crash the upstreams that run them, by what they have in common:
+ * all of the request (its digest), or a part of its prompt other than the last.
+ *
+ * <p>Each of these is a suspect of a crash that ended a send with it before the answer was well
+ * under way. An answer proves a suspect harmless: it refutes the crashes before, and losses shortly
+ * after it are not counted. The likely causes are condemned (see {@link CrashAttribution}); their
+ * refusal is temporary, since a connection can break for other reasons. Crashes are merged with
+ * those that other routers report, so that they outlive the router that saw them.
+ *
+ * <p>Invariant: at most {@link #MAX_SUSPECTS} suspects, the oldest are evicted first. Owned by the
+ * control thread.
+ */
+public final class PoisonRegister {
+    /** Maximum number of suspects remembered. */
+    static final int MAX_SUSPECTS = 1024;
+
+    /** Maximum number of suspects reported to the other routers. */
+    private static final int MAX_REPORTED_SUSPECTS = 24;
+
+    /** Longer ids, which callers choose, are shortened, so that a report stays small. */
+    private static final int MAX_SUSPECT_LENGTH = 64;
+
+    /** Crashes before this time no longer count. */
+    private static final Duration EVIDENCE_TTL = Duration.ofMinutes(10);
+
+    /** Shortest time between two requests with which a condemned suspect is tried. */
+    private static final Duration MIN_TRIAL_INTERVAL = Duration.ofSeconds(2);
+
+    private static final Comparator<Map.Entry<String, CrashEvidence>> MOST_CRASHES_FIRST =
+            Comparator.comparingInt(entry -> -entry.getValue().crashes().size());
+
+    private final Map<String, CrashEvidence> evidence = new LinkedHashMap<>();
+    private final Map<String, Long> lastTrialNanos = new HashMap<>();
+    private final CrashKeys crashKeys = new CrashKeys();
+    private final AnswerLog ownAnswers = new AnswerLog();
+    private final AnswerLog peerAnswers = new AnswerLog();
+    private Map<String, Condemnation> condemned = Map.of();
+    private BiConsumer<String, Condemnation> condemnationListener = (suspect, condemnation) -> {};
+    private PoisonNews news = PoisonNews.NONE;
+
+    /** Sets what is called, on the control thread, when a suspect is condemned. */
+    public void setCondemnationListener(BiConsumer<String, Condemnation> listener) {
+        condemnationListener = listener;
+    }
+
+    /** Whether a request is refused now; if not, it counts as the trial of its suspects. */
+    boolean isRefused(String digest, List<PromptPart> parts, LiveRouters routers, long nowNanos) {
+        if (condemned.isEmpty()) {
+            return false;
+        }
+        List<String> suspects =
+                suspects(digest, parts).stream().filter(condemned::containsKey).toList();
+        if (suspects.stream().anyMatch(s -> isSuspectRefused(s, suspects, routers, nowNanos))) {
+            return true;
+        }
+        suspects.forEach(suspect -> lastTrialNanos.put(suspect, nowNanos));
+        return false;
+    }
+
+    /**
+     * Counts the crash of an upstream that ended a send before its answer was well under way.
+     *
+     * @return whether a suspect of the request is condemned from now on
+     */
+    boolean onCrash(String digest, List<PromptPart> parts, Incarnation upstream, long nowNanos) {
+        int crash = crashKeys.keyOfLoss(upstream, nowNanos);
+        Map<String, Condemnation> before = condemned;
+        for (String suspect : suspects(digest, parts)) {
+            if (isAnsweredRecently(suspect, nowNanos)) {
+                continue;
+            }
+            if (addCrashes(suspect, Set.of(crash), nowNanos, nowNanos)) {
+                boolean repeated = evidence.get(suspect).crashes().size() > 1;
+                raiseNews(repeated ? PoisonNews.REPEATED_CRASH : PoisonNews.FIRST_CRASH);
+            }
+        }
+        attribute(nowNanos);
+        return suspects(digest, parts).stream()
+                .anyMatch(s -> condemned.containsKey(s) && !before.containsKey(s));
+    }
+
+    /** Records an answer that was well under way, which proves all suspects of it harmless. */
+    void onAnswer(String digest, List<PromptPart> parts, long nowNanos) {
+        boolean refuted = false;
+        for (String suspect : suspects(digest, parts)) {
+            CrashEvidence known = evidence.get(suspect);
+            if (known != null
+                    && known.crashes().size() + known.refuted().size() > 1
+                    && !ownAnswers.isAnsweredRecently(suspect, nowNanos)) {
+                raiseNews(PoisonNews.REPEATED_CRASH);
+            }
+            ownAnswers.record(suspect, nowNanos);
+            refuted |= refute(suspect);
+        }
+        if (refuted) {
+            attribute(nowNanos);
+        }
+    }
+
+    /** What the other routers should know. */
+    public PoisonReport report(long nowNanos) {
+        Map<String, CrashReport> crashes =
+                evidence.entrySet().stream()
+                        .filter(entry -> !entry.getValue().crashes().isEmpty())
+                        .sorted(MOST_CRASHES_FIRST)
+                        .limit(MAX_REPORTED_SUSPECTS)
+                        .collect(
+                                Collectors.toMap(
+                                        Map.Entry::getKey,
+                                        entry -> report(entry.getValue(), nowNanos)));
+        Set<String> answered =
+                evidence.keySet().stream()
+                        .filter(suspect -> ownAnswers.isAnsweredRecently(suspect, nowNanos))
+                        .limit(MAX_REPORTED_SUSPECTS)
+                        .collect(Collectors.toSet());
+        return new PoisonReport(crashes, answered);
+    }
+
+    /** How soon {@link #report} should be published. */
+    public PoisonNews news() {
+        return news;
+    }
+
+    /** Records that the report is published. */
+    public void onPublished() {
+        news = PoisonNews.NONE;
+    }
+
+    /** Merges what a router reported; an earlier life of this one counts like another router. */
+    public void applyReport(PoisonReport report, long nowNanos) {
+        report.answered()
+                .forEach(
+                        suspect -> {
+                            peerAnswers.record(suspect, nowNanos);
+                            refute(suspect);
+                        });
+        report.crashes()
+                .forEach(
+                        (suspect, crashes) ->
+                                addCrashes(
+                                        suspect,
+                                        crashes.crashes(),
+                                        nowNanos - crashes.age().toNanos(),
+                                        nowNanos));
+        attribute(nowNanos);
+    }
+
+    private static CrashReport report(CrashEvidence known, long nowNanos) {
+        return new CrashReport(
+                known.crashes(), Duration.ofNanos(Math.max(0, nowNanos - known.lastNanos())));
+    }
+
+    /** The last part belongs to one request or session, which its digest stands for. */
+    private static List<String> suspects(String digest, List<PromptPart> parts) {
+        List<String> suspects =
+                parts.stream()
+                        .limit(Math.max(0, parts.size() - 1))
+                        .map(part -> shorten(part.id()))
+                        .distinct()
+                        .collect(Collectors.toList());
+        suspects.add(digest);
+        return suspects;
+    }
+
+    private static String shorten(String id) {
+        return id.length() <= MAX_SUSPECT_LENGTH
+                ? id
+                : id.substring(0, MAX_SUSPECT_LENGTH) + '#' + Integer.toHexString(Hashes.key(id));
+    }
+
+    private boolean isSuspectRefused(
+            String suspect, List<String> suspects, LiveRouters routers, long nowNanos) {
+        if (isAnsweredRecently(suspect, nowNanos)) {
+            return false;
+        }
+        Condemnation condemnation = condemned.get(suspect);
+        long age = nowNanos - evidence.get(suspect).lastNanos();
+        if (age < condemnation.refusal(suspects).toNanos()) {
+            return true;
+        }
+        if (age >= condemnation.trialEnd().toNanos()) {
+            return false;
+        }
+        Long trial = lastTrialNanos.get(suspect);
+        boolean tried = trial != null && nowNanos - trial < MIN_TRIAL_INTERVAL.toNanos();
+        return tried || routers.shareOf(1, suspect) == 0;
+    }
+
+    private boolean isAnsweredRecently(String suspect, long nowNanos) {
+        return ownAnswers.isAnsweredRecently(suspect, nowNanos)
+                || peerAnswers.isAnsweredRecently(suspect, nowNanos);
+    }
+
+    private boolean addCrashes(String suspect, Set<Integer> keys, long atNanos, long nowNanos) {
+        if (nowNanos - atNanos >= EVIDENCE_TTL.toNanos()) {
+            return false;
+        }
+        CrashEvidence before = evidence.get(suspect);
+        CrashEvidence after =
+                (before == null ? CrashEvidence.none(atNanos) : before).withCrashes(keys, atNanos);
+        if (after.equals(before) || after.crashes().isEmpty()) {
+            return false;
+        }
+        evidence.remove(suspect);
+        evidence.put(suspect, after);
+        if (evidence.size() > MAX_SUSPECTS) {
+            evidence.remove(evidence.keySet().iterator().next());
+        }
+        return true;
+    }
+
+    private boolean refute(String suspect) {
+        CrashEvidence known = evidence.get(suspect);
+        if (known == null || known.crashes().isEmpty()) {
+            return false;
+        }
+        evidence.put(suspect, known.refutedByAnswer());
+        return true;
+    }
+
+    private void raiseNews(PoisonNews newer) {
+        news = newer.compareTo(news) > 0 ? newer : news;
+    }
+
+    private void attribute(long nowNanos) {
+        evidence.values().removeIf(e -> nowNanos - e.lastNanos() >= EVIDENCE_TTL.toNanos());
+        Map<String, Set<Integer>> crashes = new HashMap<>();
+        evidence.forEach(
+                (suspect, known) -> {
+                    if (!isAnsweredRecently(suspect, nowNanos)) {
+                        crashes.put(suspect, known.crashes());
+                    }
+                });
+        Map<String, Condemnation> before = condemned;
+        condemned =
+                CrashAttribution.attribute(
+                        crashes, s -> ownAnswers.isAnswered(s) || peerAnswers.isAnswered(s));
+        lastTrialNanos.keySet().retainAll(condemned.keySet());
+        condemned.forEach(
+                (suspect, condemnation) -> {
+                    if (!condemnation.equals(before.get(suspect))) {
+                        condemnationListener.accept(suspect, condemnation);
+                    }
+                });
+    }
+}
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -29,7 +29,7 @@
     private final UpstreamSelector selector;
     private final PlacementRules placementRules;
     private final Map<String, ServiceState> services = new HashMap<>();
-    private final PoisonRequestRegister poisonRegister = new PoisonRequestRegister();
+    private final PoisonRegister poisonRegister = new PoisonRegister();
     private BiConsumer<Job, Send> sendListener = (job, send) -> {};
     private Optional<RoutingConfig> config = Optional.empty();
     private LiveRouters routers;
@@ -73,7 +73,7 @@
         return rollOuts;
     }
 
-    public PoisonRequestRegister poisonRegister() {
+    public PoisonRegister poisonRegister() {
         return poisonRegister;
     }
 
@@ -139,7 +139,8 @@
             return new Refused(
                     job.possibleRuns() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE);
         }
-        if (poisonRegister.isRefused(requestDigest, nowNanos)) {
+        List<PromptPart> parts = job.request().parts();
+        if (poisonRegister.isRefused(requestDigest, parts, routers, nowNanos)) {
             return refusalOrOutcomeUnknown(job, RefusalCause.POISON);
         }
         if (!mayRunAgain(job)) {
@@ -217,7 +218,7 @@
                 .ifPresent(state -> state.onHeadersOrEnd(send, load, nowNanos));
     }
 
-    /** Records the end of a send; true if requests with its digest are refused from now on. */
+    /** Records the end of a send; true if requests like it are refused from now on. */
     public boolean onSendEnd(Job job, String requestDigest, SendReport report, long nowNanos) {
         Send send = report.send();
         upstreams
@@ -245,13 +246,19 @@
             upstreams.remove(send.upstream().id(), nowNanos);
         }
         rollOuts.onSendEnd(report, job, nowNanos);
-        if (report.outcome().isCompleteAnswer()) {
-            poisonRegister.onAnswer(requestDigest, nowNanos);
+        return recordPoisonEvidence(job, requestDigest, report, nowNanos);
+    }
+
+    private boolean recordPoisonEvidence(
+            Job job, String requestDigest, SendReport report, long nowNanos) {
+        List<PromptPart> parts = job.request().parts();
+        if (report.provesHarmless(nowNanos)) {
+            poisonRegister.onAnswer(requestDigest, parts, nowNanos);
+            return false;
         }
+        Incarnation upstream = report.send().upstream().incarnation();
         return report.outcome() == SendOutcome.BROKEN
-                && !report.headersReceived()
-                && poisonRegister.onConnectionLoss(
-                        requestDigest, send.upstream().incarnation(), nowNanos);
+                && poisonRegister.onCrash(requestDigest, parts, upstream, nowNanos);
     }
 
     private static boolean mayRunAgain(Job job) {
--- a/routing/src/main/java/org/wigeonferry/routing/SendReport.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SendReport.java
@@ -18,4 +18,22 @@
         SendOutcome outcome,
         boolean headersReceived,
         Optional<Duration> timeToFirstByte,
-        Optional<Duration> meanEventGap) {}
+        Optional<Duration> meanEventGap) {
+    /** A request that crashes its upstream does so before its answer has lasted this long. */
+    private static final Duration HARMLESS_ANSWER_DURATION = Duration.ofMillis(300);
+
+    /**
+     * Whether the send shows that the request crashes no upstream: its answer is complete, or
+     * lasted for a while before it was lost or the caller left.
+     */
+    boolean provesHarmless(long endNanos) {
+        if (outcome.isCompleteAnswer()) {
+            return true;
+        }
+        return (outcome == SendOutcome.BROKEN || outcome == SendOutcome.ABANDONED)
+                && timeToFirstByte
+                        .map(time -> endNanos - send.startNanos() - time.toNanos())
+                        .filter(lasted -> lasted >= HARMLESS_ANSWER_DURATION.toNanos())
+                        .isPresent();
+    }
+}
--- a/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoutingStateTest.java
@@ -175,7 +175,9 @@
     @Test
     void connectionLossesAtOtherRoutersCount() {
         sendAndLoseConnection("a");
-        state.poisonRegister().applyPeerLossCounts("peer", Map.of("content", 2), NOW_NANOS);
+        CrashReport crashes = new CrashReport(Set.of(1, 2), Duration.ZERO);
+        state.poisonRegister()
+                .applyReport(new PoisonReport(Map.of("content", crashes), Set.of()), NOW_NANOS);
         Job job = Fixtures.admit(state, Fixtures.request("look"), NOW_NANOS);
         assertThat(Fixtures.place(state, job, NOW_NANOS))
                 .isEqualTo(new Refused(RefusalCause.POISON));
