--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -52,9 +52,9 @@
     }
 
     /**
-     * Logs the end of a send; {@code first_ms} is -1 if no byte of the body arrived. The prompt's
-     * parts are logged unless an answer was delivered, as one of them may have crashed the
-     * upstream.
+     * Logs the end of a send; {@code first_ms} is -1 if no byte of the body arrived, {@code
+     * gap_us}, the mean time between events, if there were fewer than two. The prompt's parts are
+     * logged unless an answer was delivered, as one of them may have crashed the upstream.
      */
     void logSendEnded(SendReport report, Optional<ResponseHead> head, Optional<Throwable> cause) {
         SendOutcome outcome = report.outcome();
@@ -68,6 +68,8 @@
                 .addKeyValue("outcome", lowerCase(outcome.name()))
                 .addKeyValue(
                         "first_ms", report.timeToFirstByte().map(Duration::toMillis).orElse(-1L))
+                .addKeyValue(
+                        "gap_us", report.meanEventGap().map(g -> g.toNanos() / 1000).orElse(-1L))
                 .addKeyValue("status", head.map(ResponseHead::status).orElse(0))
                 .addKeyValue("confidence", head.flatMap(ResponseHead::confidence).orElse(-1))
                 .addKeyValue("cause", cause.map(String::valueOf).orElse(""))
--- a/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
+++ b/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
@@ -43,6 +43,7 @@
      * @param evidence evidence of the new releases in running roll-outs, by service
      */
     boolean takeDue(PoisonNews poisonNews, Map<String, ReleaseEvidence> evidence) {
+        checksSinceReport++;
         boolean crashesAreNews =
                 poisonNews == PoisonNews.REPEATED_CRASH
                         || (poisonNews == PoisonNews.FIRST_CRASH
@@ -53,7 +54,6 @@
                                 .anyMatch(entry -> isNews(entry.getKey(), entry.getValue()));
         boolean periodPassed = checkCount % CHECKS_PER_PERIODIC_REPORT == 0;
         checkCount++;
-        checksSinceReport++;
         if (!crashesAreNews && !evidenceChanged && !periodPassed) {
             return false;
         }
