Compare a release's streams at equal model and load; count the slow ones before they end

Cause: three in one. Evidence came from sends that had ended, and the slow ones end last (censoring): 13 of 28 sends of v2 were still open when the move began, all those that looked sound had ended. Times counted only where both the first byte and the gaps were 2.8 times longer, and the first byte of this release is in time. Gaps were averaged over models that differ tenfold in pace, and compared with those of busier upstreams: a sound release on its small share shows 0.35 to 0.6 of the old release's gaps. Class of fault: a comparison of samples that were not drawn alike. Ruled out: late exchange between routers (all totals agree within a few sends in the log lines). Change: TypicalGaps learns what is usual by model and load (GapTrend); gaps are compared with that. Streams are recorded each second while they run. One that is three times slower than usual counts as failed, so the limits on failures bind it; the mean gap of all decides besides. Where the old release streams, a release with fewer than eight streams is not completed.

--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -40,6 +40,9 @@
     /** Interval at which it is checked again whether a resend is allowed. */
     private static final Duration SILENCE_RECHECK_INTERVAL = Duration.ofMillis(300);
 
+    /** Interval at which the pace of a running stream is recorded. */
+    private static final Duration PACE_CHECK_INTERVAL = Duration.ofSeconds(1);
+
     private final CallContext context;
     private final RoutedCall call;
     private final Send send;
@@ -52,6 +55,7 @@
     private volatile Optional<Throwable> connectionFailure = Optional.empty();
     private volatile long firstByteNanos;
     private volatile long lastProgressNanos;
+    private volatile int completeEvents;
     private int bytesAtLastProgress;
 
     RoutedSend(CallContext context, RoutedCall call, Send send) {
@@ -64,6 +68,9 @@
     void start(UpstreamRequest request) {
         closeConnection = context.sender().send(request, this);
         context.control().execute(this::checkSilence);
+        if (call.job().route().kind().isStreamed()) {
+            context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
+        }
         if (ended.get()) {
             closeConnection.run();
         }
@@ -175,6 +182,19 @@
         }
     }
 
+    /** Tells the roll-outs how slow a stream is that has not ended. */
+    private void checkPace() {
+        if (ended.get()) {
+            return;
+        }
+        if (completeEvents > 0) {
+            long nanos = context.control().nanoTime() - firstByteNanos;
+            Duration gap = Duration.ofNanos(nanos / completeEvents);
+            context.state().onStreamProgress(send, gap);
+        }
+        context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
+    }
+
     private Duration silenceTimeout() {
         Route route = call.job().route();
         if (!route.kind().isStreamed()) {
@@ -231,6 +251,7 @@
         ByteBuffer events = scanner.append(bytes);
         if (events.hasRemaining()) {
             recordProgress();
+            completeEvents = scanner.eventCount();
             call.forwardEvents(this, decodedHead, scanner, events);
         }
         endIfTooLarge(scanner.incompleteEventBytes(), MAX_EVENT_BYTES);
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidence.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidence.java
@@ -8,15 +8,23 @@
  *
  * @param sends requests sent
  * @param good successful answers
- * @param bad failed answers, including lost connections and time-outs
+ * @param bad failed answers, including lost connections, time-outs and streams that are several
+ *     times slower than usual, running ones too
  * @param timed answers included in {@code firstMicros}
  * @param firstMicros sum over {@code timed} of the ratio of the time to the first byte to its
  *     expected value (see {@link Slowness#ratioToExpectedTime}), in millionths
- * @param gapMicros sum over {@code gaps} of the mean time between events, in microseconds
- * @param gaps answers included in {@code gapMicros}
+ * @param gapLogMillionths sum over {@code gaps} of the natural logarithm of the ratio of the time
+ *     between events to the typical one of the model (see {@link TypicalGaps}), in millionths
+ * @param gaps streams included in {@code gapLogMillionths}, running ones too
  */
 public record ReleaseEvidence(
-        long sends, long good, long bad, long timed, long firstMicros, long gapMicros, long gaps) {
+        long sends,
+        long good,
+        long bad,
+        long timed,
+        long firstMicros,
+        long gapLogMillionths,
+        long gaps) {
     /** No answers. */
     public static final ReleaseEvidence NONE = new ReleaseEvidence(0, 0, 0, 0, 0, 0, 0);
 
@@ -28,7 +36,7 @@
                 bad + other.bad,
                 timed + other.timed,
                 firstMicros + other.firstMicros,
-                gapMicros + other.gapMicros,
+                gapLogMillionths + other.gapLogMillionths,
                 gaps + other.gaps);
     }
 
@@ -47,8 +55,8 @@
         return timed == 0 ? 0 : (double) firstMicros / timed;
     }
 
-    /** Mean time between events in microseconds. */
-    public double meanGapMicros() {
-        return gaps == 0 ? 0 : (double) gapMicros / gaps;
+    /** Geometric mean of the ratios of the time between events to the typical one. */
+    public double meanGapRatio() {
+        return gaps == 0 ? 1 : Math.exp((double) gapLogMillionths / gaps / 1_000_000);
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -9,20 +10,39 @@
 /**
  * Counts the sends and answers of the releases in roll-outs, here and at the other routers.
  *
+ * <p>Streams that still run count with their gaps so far: the slow ones of a release end last, and
+ * those that end by the deadline were never answered.
+ *
  * <p>Invariant: evidence of a router counts only for the order that it was collected under. Owned
  * by the control thread.
  */
 final class ReleaseEvidenceLog {
     private static final double MILLIONTHS_PER_UNIT = 1_000_000;
 
+    /**
+     * Ratio of the time between events to the typical one from which an answer counts as failed.
+     */
+    private static final double SLOW_GAP_RATIO = 3;
+
     /** New upstreams are slow at first. */
     private static final Duration NEW_RELEASE_WARM_UP = Duration.ofSeconds(5);
 
     private final Map<String, RollOutEvidence> ownEvidence = new HashMap<>();
+
+    /** The release that is rolled out, by service. */
+    private final Map<String, String> newReleases = new HashMap<>();
+
+    private final TypicalGaps typicalGaps = new TypicalGaps();
+
+    /** Logarithms of the gap ratios of running streams, in millionths; keys are compared by ==. */
+    private final Map<Send, Long> runningGapLogs = new IdentityHashMap<>();
+
     private final Map<String, Map<String, RollOutEvidence>> evidenceByPeer = new HashMap<>();
 
     /** Starts to count for an order, from zero. */
     void start(RollOut order) {
+        forgetRunning(order.service());
+        newReleases.put(order.service(), order.release());
         ownEvidence.put(
                 order.service(),
                 new RollOutEvidence(order.revision(), ReleaseEvidence.NONE, ReleaseEvidence.NONE));
@@ -30,17 +50,28 @@
 
     /** Drops the own evidence of a service. */
     void remove(String service) {
+        forgetRunning(service);
         ownEvidence.remove(service);
     }
 
     /** Evidence counted by this router, by service. */
     Map<String, RollOutEvidence> own() {
-        return Map.copyOf(ownEvidence);
+        Map<String, RollOutEvidence> withRunning = new HashMap<>();
+        ownEvidence.keySet().forEach(service -> withRunning.put(service, own(service)));
+        return withRunning;
     }
 
     /** Evidence counted by this router for a service that is being rolled out. */
     RollOutEvidence own(String service) {
-        return ownEvidence.get(service);
+        RollOutEvidence sum = ownEvidence.get(service);
+        for (Map.Entry<Send, Long> running : runningGapLogs.entrySet()) {
+            Send send = running.getKey();
+            if (send.upstream().service().equals(service)) {
+                boolean isNew = send.upstream().release().equals(newReleases.get(service));
+                sum = plus(sum, isNew, runningEvidence(running.getValue()));
+            }
+        }
+        return sum;
     }
 
     /** Replaces the evidence reported by another router. */
@@ -63,7 +94,7 @@
 
     /** Evidence of a known order, summed over this router and the others. */
     RollOutEvidence total(RollOut order) {
-        RollOutEvidence sum = ownEvidence.get(order.service());
+        RollOutEvidence sum = own(order.service());
         for (Map<String, RollOutEvidence> evidenceByService : evidenceByPeer.values()) {
             RollOutEvidence other = evidenceByService.get(order.service());
             if (other != null) {
@@ -78,25 +109,61 @@
         add(send, order, new ReleaseEvidence(1, 0, 0, 0, 0, 0, 0));
     }
 
-    /** Counts the outcome of a send. */
-    void onSendEnd(SendReport report, Optional<RollOut> order) {
-        if (report.outcome() == SendOutcome.ANSWERED) {
-            add(report.send(), order, evidenceOfAnswer(report, order));
-        } else if (report.outcome().isFailure()) {
-            add(report.send(), order, new ReleaseEvidence(0, 0, 1, 0, 0, 0, 0));
+    /**
+     * Records the mean gap so far between the events of a running stream.
+     *
+     * @param running requests that its upstream runs
+     */
+    void onStreamProgress(Send send, Duration gap, int running, Optional<RollOut> order) {
+        if (isWarm(send, order) && ownEvidence.containsKey(send.upstream().service())) {
+            gapLogMillionths(send, gap, running).ifPresent(log -> runningGapLogs.put(send, log));
         }
     }
 
     /**
-     * Includes times only of sends that started more than {@link #NEW_RELEASE_WARM_UP} after the
-     * order, on either release.
+     * Counts the outcome of a send.
+     *
+     * @param running requests that its upstream ran
      */
+    void onSendEnd(SendReport report, int running, Optional<RollOut> order) {
+        Send send = report.send();
+        runningGapLogs.remove(send);
+        Optional<Long> gapLog =
+                report.meanEventGap()
+                        .filter(gap -> isWarm(send, order))
+                        .flatMap(gap -> gapLogMillionths(send, gap, running));
+        if (report.outcome().isFailure() || gapLog.filter(ReleaseEvidenceLog::isSlow).isPresent()) {
+            add(send, order, new ReleaseEvidence(0, 0, 1, 0, 0, 0, 0));
+        } else if (report.outcome() == SendOutcome.ANSWERED) {
+            add(send, order, evidenceOfAnswer(report, order));
+        }
+        gapLog.ifPresent(log -> add(send, order, gapEvidence(log)));
+        if (!isNew(send, order)) {
+            report.meanEventGap().ifPresent(gap -> typicalGaps.record(send, gap, running));
+        }
+    }
+
+    private Optional<Long> gapLogMillionths(Send send, Duration gap, int running) {
+        return typicalGaps
+                .logRatio(send, gap, running)
+                .map(logRatio -> Math.round(MILLIONTHS_PER_UNIT * logRatio));
+    }
+
+    private static boolean isSlow(long gapLogMillionths) {
+        return gapLogMillionths >= MILLIONTHS_PER_UNIT * Math.log(SLOW_GAP_RATIO);
+    }
+
+    private static ReleaseEvidence gapEvidence(long gapLogMillionths) {
+        return new ReleaseEvidence(0, 0, 0, 0, 0, gapLogMillionths, 1);
+    }
+
+    private static ReleaseEvidence runningEvidence(long gapLogMillionths) {
+        return gapEvidence(gapLogMillionths)
+                .plus(new ReleaseEvidence(0, 0, isSlow(gapLogMillionths) ? 1 : 0, 0, 0, 0, 0));
+    }
+
     private static ReleaseEvidence evidenceOfAnswer(SendReport report, Optional<RollOut> order) {
-        boolean warm =
-                order.isPresent()
-                        && report.send().startNanos() - order.get().startNanos()
-                                > NEW_RELEASE_WARM_UP.toNanos();
-        if (!warm || report.timeToFirstByte().isEmpty()) {
+        if (!isWarm(report.send(), order) || report.timeToFirstByte().isEmpty()) {
             return new ReleaseEvidence(0, 1, 0, 0, 0, 0, 0);
         }
         long ratioMillionths =
@@ -104,9 +171,24 @@
                         MILLIONTHS_PER_UNIT
                                 * Slowness.ratioToExpectedTime(
                                         report.timeToFirstByte().get(), report.send()));
-        long gapMicros = report.meanEventGap().map(gap -> gap.toNanos() / 1000).orElse(0L);
-        int gaps = report.meanEventGap().isPresent() ? 1 : 0;
-        return new ReleaseEvidence(0, 1, 0, 1, ratioMillionths, gapMicros, gaps);
+        return new ReleaseEvidence(0, 1, 0, 1, ratioMillionths, 0, 0);
+    }
+
+    /**
+     * Whether a send started more than {@link #NEW_RELEASE_WARM_UP} after the order, so that its
+     * times count, on either release.
+     */
+    private static boolean isWarm(Send send, Optional<RollOut> order) {
+        return order.isPresent()
+                && send.startNanos() - order.get().startNanos() > NEW_RELEASE_WARM_UP.toNanos();
+    }
+
+    private static boolean isNew(Send send, Optional<RollOut> order) {
+        return order.filter(o -> send.upstream().release().equals(o.release())).isPresent();
+    }
+
+    private void forgetRunning(String service) {
+        runningGapLogs.keySet().removeIf(send -> send.upstream().service().equals(service));
     }
 
     private void add(Send send, Optional<RollOut> order, ReleaseEvidence more) {
@@ -115,12 +197,14 @@
         if (evidence == null || order.isEmpty()) {
             return;
         }
-        boolean isNew = send.upstream().release().equals(order.get().release());
-        ownEvidence.put(
-                service,
-                new RollOutEvidence(
-                        evidence.revision(),
-                        isNew ? evidence.fresh().plus(more) : evidence.fresh(),
-                        isNew ? evidence.old() : evidence.old().plus(more)));
+        ownEvidence.put(service, plus(evidence, isNew(send, order), more));
+    }
+
+    private static RollOutEvidence plus(
+            RollOutEvidence evidence, boolean isNew, ReleaseEvidence more) {
+        return new RollOutEvidence(
+                evidence.revision(),
+                isNew ? evidence.fresh().plus(more) : evidence.fresh(),
+                isNew ? evidence.old() : evidence.old().plus(more));
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutCriteria.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutCriteria.java
@@ -4,8 +4,9 @@
  * Compares failures and latency of a new release with those of the old one.
  *
  * <p>A wrong roll-back only fails to carry out the operator's order, while a wrong completion puts
- * all traffic on a bad release, so unclear evidence counts against the new release. Stateless and
- * thread safe.
+ * all traffic on a bad release, so unclear evidence counts against the new release. Streams are
+ * compared by the time between their events only: the first one of a new upstream is late until it
+ * has prompts cached. Stateless and thread safe.
  */
 final class RollOutCriteria {
     private static final int MIN_FAILED_ANSWERS_TO_ROLL_BACK = 4;
@@ -18,9 +19,14 @@
 
     private static final int MIN_TIMED_ANSWERS_TO_COMPARE = 8;
 
-    /** Greatest tolerated ratio of the new release's latency to the old one's. */
+    /** Greatest tolerated ratio of the new release's time to the first byte to the old one's. */
     private static final double MAX_LATENCY_RATIO = 2.8;
 
+    private static final int MIN_STREAMS_TO_COMPARE = 8;
+
+    /** Greatest tolerated ratio of the new release's gaps between events to the old one's. */
+    private static final double MAX_GAP_RATIO = 2.0;
+
     private RollOutCriteria() {}
 
     /** Whether the evidence shows that the new release fails more or is slower. */
@@ -35,6 +41,7 @@
         double maxFailureShare = Math.max(0.1, evidence.old().failureShare() * 1.5);
         return newRelease.good() >= minGoodAnswers
                 && newRelease.failureShare() <= maxFailureShare
+                && !lacksStreams(evidence)
                 && !mustRollBack(evidence);
     }
 
@@ -47,15 +54,22 @@
     private static boolean isSlower(RollOutEvidence evidence) {
         ReleaseEvidence newRelease = evidence.fresh();
         ReleaseEvidence oldRelease = evidence.old();
-        if (newRelease.timed() < MIN_TIMED_ANSWERS_TO_COMPARE
-                || oldRelease.timed() < MIN_TIMED_ANSWERS_TO_COMPARE) {
-            return false;
+        if (hasComparableGaps(evidence)) {
+            return newRelease.meanGapRatio() > MAX_GAP_RATIO * oldRelease.meanGapRatio();
         }
-        boolean firstByteSlower =
-                newRelease.meanFirstByteRatioMillionths()
+        return newRelease.timed() >= MIN_TIMED_ANSWERS_TO_COMPARE
+                && oldRelease.timed() >= MIN_TIMED_ANSWERS_TO_COMPARE
+                && newRelease.meanFirstByteRatioMillionths()
                         > MAX_LATENCY_RATIO * oldRelease.meanFirstByteRatioMillionths();
-        boolean gapLonger =
-                newRelease.meanGapMicros() > MAX_LATENCY_RATIO * oldRelease.meanGapMicros();
-        return firstByteSlower && (gapLonger || newRelease.gaps() < MIN_TIMED_ANSWERS_TO_COMPARE);
+    }
+
+    private static boolean hasComparableGaps(RollOutEvidence evidence) {
+        return evidence.fresh().gaps() >= MIN_STREAMS_TO_COMPARE
+                && evidence.old().gaps() >= MIN_STREAMS_TO_COMPARE;
+    }
+
+    /** Whether the old release streams and too few streams of the new one are known. */
+    private static boolean lacksStreams(RollOutEvidence evidence) {
+        return evidence.old().gaps() >= MIN_STREAMS_TO_COMPARE && !hasComparableGaps(evidence);
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -1,5 +1,6 @@
 package org.wigeonferry.routing;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -182,9 +183,23 @@
         evidenceLog.onSend(send, orderOf(send));
     }
 
-    void onSendEnd(SendReport report, Job job, long nowNanos) {
+    /**
+     * Counts the outcome of a send.
+     *
+     * @param running requests that its upstream ran
+     */
+    void onSendEnd(SendReport report, Job job, int running, long nowNanos) {
         recordSession(report.send(), job, nowNanos);
-        evidenceLog.onSendEnd(report, orderOf(report.send()));
+        evidenceLog.onSendEnd(report, running, orderOf(report.send()));
+    }
+
+    /**
+     * Records the mean gap so far between the events of a running stream.
+     *
+     * @param running requests that its upstream runs
+     */
+    void onStreamProgress(Send send, Duration gap, int running) {
+        evidenceLog.onStreamProgress(send, gap, running, orderOf(send));
     }
 
     private void recordSession(Send send, Job job, long nowNanos) {
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -218,6 +218,11 @@
                 .ifPresent(state -> state.onHeadersOrEnd(send, load, nowNanos));
     }
 
+    /** Records the mean gap so far between the events of a running stream. */
+    public void onStreamProgress(Send send, Duration gap) {
+        rollOuts.onStreamProgress(send, gap, upstreams.runningRequests(send.upstream()));
+    }
+
     /** Records the end of a send; true if requests like it are refused from now on. */
     public boolean onSendEnd(Job job, String requestDigest, SendReport report, long nowNanos) {
         Send send = report.send();
@@ -245,7 +250,7 @@
         if (report.outcome() == SendOutcome.MISDIRECTED) {
             upstreams.remove(send.upstream().id(), nowNanos);
         }
-        rollOuts.onSendEnd(report, job, nowNanos);
+        rollOuts.onSendEnd(report, job, upstreams.runningRequests(send.upstream()), nowNanos);
         return recordPoisonEvidence(job, requestDigest, report, nowNanos);
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -117,6 +117,11 @@
                 .filter(state -> state.instance().incarnation().equals(incarnation));
     }
 
+    /** Requests that an upstream ran when it last told so, or else those of this router. */
+    int runningRequests(UpstreamInstance upstream) {
+        return state(upstream.incarnation()).map(UpstreamState::lastKnownRunning).orElse(0);
+    }
+
     private UpstreamState newState(UpstreamInstance upstream, long nowNanos) {
         UpstreamState state = new UpstreamState(upstream, nowNanos);
         state.setEngineTraits(engineTraits(upstream));
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -142,6 +142,11 @@
         return Math.max(0, lastLoad.get().running() + lastLoad.get().waiting() - runningSends);
     }
 
+    /** Requests that the upstream ran when it last told so, or else those of this router. */
+    int lastKnownRunning() {
+        return lastLoad.map(ReportedLoad::running).orElse(runningSends);
+    }
+
     void onSend(Send send, RoutedRequest request, long nowNanos) {
         runningSends++;
         queuedTokens += send.weightedUncachedTokens();
