Keep an upstream's error out of a stream that another one began

Cause: RoutedCall took any complete answer that is no failure of the upstream for the end of the call; only errors from 500 on were kept from a stream that had begun. Change: after the first events only the rest of the stream ends the call. Evidence: ErrorAfterBrokenStreamTest, five of its eight cases failed before (302, 400, 404, 409, 429), all pass now.

--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -109,7 +109,9 @@
                 return;
             }
             currentSend = Optional.empty();
-            if (report.outcome() == SendOutcome.ANSWERED) {
+            // After the first events only the rest of the stream answers the request.
+            boolean restOfStream = response.isEmpty();
+            if (report.outcome() == SendOutcome.ANSWERED && (restOfStream || !streaming)) {
                 finish();
                 sendResponse(response);
                 return;
