Believe no refusal that an upstream wrote for another request

Cause: the head of a refusal was taken as proof before its request id was looked at. Our sends use a new connection each, so a copy of an earlier refusal can't come on a kept one; a faulty upstream can still write one on the wrong connection. Change: an answer that names another request's id is no answer to this one, whatever it says. One that names none is taken as before.

--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -224,13 +224,17 @@
 
     /** The outcome if the head alone decides it; empty if the body counts. */
     private Optional<SendOutcome> outcomeWithoutBody(ResponseHead decodedHead) {
+        String ownId = call.job().request().id();
+        if (decodedHead.requestId().filter(id -> !id.equals(ownId)).isPresent()) {
+            return Optional.of(SendOutcome.BROKEN);
+        }
         if (decodedHead.misdirected()) {
             return Optional.of(SendOutcome.MISDIRECTED);
         }
         if (decodedHead.requestNotRun()) {
             return Optional.of(SendOutcome.NOT_RUN);
         }
-        return decodedHead.isValidResponseTo(call.job().request().id())
+        return decodedHead.isValidResponseTo(ownId)
                 ? Optional.empty()
                 : Optional.of(SendOutcome.BROKEN);
     }
