Keep to what upstreams say of themselves: leaving, and wanting nothing for a while

Cause: an upstream's word reached routers by its row in the store only; a refusal's Retry-After was lost. Change: UpstreamAnnouncementDecoder reads both from every answer head of the addressed upstream, bounded; UpstreamNotices keeps them by incarnation, so that no row or later answer clears them and a new incarnation starts clean; PlacementRules applies them to every send, whatever it is for. Routers return after a pause at times of their own. When all pause, callers are told the time of the first one, at once.

--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -16,6 +16,7 @@
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
+import org.wigeonferry.routing.UpstreamAnnouncement;
 
 /**
  * Logs the decisions on one call and its outcome, and updates the metrics.
@@ -106,6 +107,18 @@
         newFinalLogEvent(Level.INFO).log("caller left");
     }
 
+    /**
+     * Logs that an upstream leaves or wants no requests; {@code pause_ms} is 0 if it only leaves.
+     */
+    void logAnnouncement(Send send, UpstreamAnnouncement announcement) {
+        metrics.count("upstream_announcements", "service", job.service());
+        newLogEvent(Level.INFO)
+                .addKeyValue("upstream", send.upstream().id())
+                .addKeyValue("leaving", announcement.leaving())
+                .addKeyValue("pause_ms", announcement.pause().map(Duration::toMillis).orElse(0L))
+                .log("upstream announced");
+    }
+
     void logPoisonDetected() {
         newLogEvent(Level.WARN).log("content refused from now on: it broke too many upstreams");
     }
--- a/router/src/main/java/org/wigeonferry/router/CallerRequestHandler.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerRequestHandler.java
@@ -151,6 +151,6 @@
                 .addKeyValue("age_ms", configuration.age().toMillis())
                 .log("refused");
         context.metrics().count("refused_" + cause.name().toLowerCase(Locale.ROOT));
-        context.refusals().sendRefusal(callerResponse, cause);
+        context.refusals().sendRefusal(callerResponse, new Refused(cause));
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/Refusals.java
+++ b/router/src/main/java/org/wigeonferry/router/Refusals.java
@@ -5,10 +5,12 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.wigeonferry.routing.RefusalCause;
+import org.wigeonferry.routing.Refused;
 
 /**
  * Writes the responses of refused requests. Status 503, which states that the request did not run,
@@ -41,13 +43,18 @@
         RETRY_AFTER_BY_CAUSE.put(RefusalCause.OVERLOADED, Duration.ofMillis(500));
     }
 
-    void sendRefusal(CallerResponse response, RefusalCause cause) {
+    void sendRefusal(CallerResponse response, Refused refused) {
+        RefusalCause cause = refused.cause();
         HttpFields.Mutable fields = HttpFields.build();
         fields.put(new HttpField(HttpHeader.CONTENT_TYPE, "application/json"));
-        Duration retryAfter = RETRY_AFTER_BY_CAUSE.get(cause);
-        if (retryAfter != null) {
-            fields.put(HttpHeader.RETRY_AFTER, String.valueOf(retryAfter.toMillis() / 1000.0));
-        }
+        refused.retryAfter()
+                .or(() -> Optional.ofNullable(RETRY_AFTER_BY_CAUSE.get(cause)))
+                .filter(delay -> cause.neverRan())
+                .ifPresent(
+                        delay ->
+                                fields.put(
+                                        HttpHeader.RETRY_AFTER,
+                                        String.valueOf(delay.toMillis() / 1000.0)));
         String body =
                 "{\"error\":{\"type\":\""
                         + wireName(cause)
--- a/router/src/main/java/org/wigeonferry/router/ResponseHead.java
+++ b/router/src/main/java/org/wigeonferry/router/ResponseHead.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 import org.wigeonferry.routing.ReportedLoad;
+import org.wigeonferry.routing.SendOutcome;
+import org.wigeonferry.routing.UpstreamAnnouncement;
 
 /**
  * Status and decoded header fields of an upstream's response.
@@ -16,6 +18,7 @@
  * @param misdirected whether the address now belongs to another upstream than the one meant
  * @param hasContentEncoding whether the body is encoded; the router never asks for an encoding
  * @param confidence confidence that the model reported in its answer, 0 to 100
+ * @param announcement what the upstream says of itself
  * @param forwardedFields the header fields that the router forwards to the caller
  */
 public record ResponseHead(
@@ -27,6 +30,7 @@
         boolean hasContentEncoding,
         Optional<Integer> confidence,
         Optional<ReportedLoad> load,
+        UpstreamAnnouncement announcement,
         HttpFields forwardedFields) {
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
@@ -38,6 +42,31 @@
         return hasUpstreamStamp && !hasContentEncoding && requestId.filter(id::equals).isPresent();
     }
 
+    /**
+     * The outcome of a send with this id if the head alone decides it; empty if the body counts.
+     */
+    Optional<SendOutcome> outcomeWithoutBody(String id) {
+        if (namesAnotherRequest(id)) {
+            return Optional.of(SendOutcome.BROKEN);
+        }
+        if (misdirected) {
+            return Optional.of(SendOutcome.MISDIRECTED);
+        }
+        if (requestNotRun) {
+            return Optional.of(SendOutcome.NOT_RUN);
+        }
+        return isValidResponseTo(id) ? Optional.empty() : Optional.of(SendOutcome.BROKEN);
+    }
+
+    /** Whether the upstream that the request was meant for wrote the head, and wrote it for it. */
+    boolean isFromAddressedUpstream(String id) {
+        return !misdirected && !namesAnotherRequest(id);
+    }
+
+    private boolean namesAnotherRequest(String id) {
+        return requestId.filter(named -> !named.equals(id)).isPresent();
+    }
+
     /** Whether the status is 500 or above. */
     public boolean isServerError() {
         return status >= MIN_SERVER_ERROR_STATUS;
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
+import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.PlacementResult;
 import org.wigeonferry.routing.RefusalCause;
@@ -13,6 +14,7 @@
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
+import org.wigeonferry.routing.UpstreamAnnouncement;
 
 /**
  * Serves one request: sends it to an upstream, resends it where that is allowed (the request is
@@ -80,6 +82,25 @@
         callerResponse.writeEvents(events);
     }
 
+    /** Records what an upstream says of itself, before anything else is placed. */
+    void onAnnouncement(Send send, UpstreamAnnouncement announcement) {
+        if (announcement.equals(UpstreamAnnouncement.NONE)) {
+            return;
+        }
+        context.control()
+                .execute(
+                        () -> {
+                            Incarnation upstream = send.upstream().incarnation();
+                            long now = context.control().nanoTime();
+                            if (context.state()
+                                    .upstreams()
+                                    .notices()
+                                    .record(upstream, announcement, now)) {
+                                log.logAnnouncement(send, announcement);
+                            }
+                        });
+    }
+
     /** Records the end of a send; then responds to the caller, or resends where that is allowed. */
     void onSendEnded(
             RoutedSend routedSend, SendReport report, Optional<CompleteResponse> response) {
@@ -122,7 +143,7 @@
             context.control().execute(this::selectUpstream);
             return;
         }
-        giveUp(RefusalCause.OUTCOME_UNKNOWN);
+        giveUp(new Refused(RefusalCause.OUTCOME_UNKNOWN));
     }
 
     private void sendResponse(Optional<CompleteResponse> response) {
@@ -148,7 +169,7 @@
         if (placement instanceof Send send) {
             context.trafficExecutor().execute(() -> startSend(send));
         } else if (placement instanceof Refused refused) {
-            context.trafficExecutor().execute(() -> giveUp(refused.cause()));
+            context.trafficExecutor().execute(() -> giveUp(refused));
         }
     }
 
@@ -192,7 +213,8 @@
                                                 context.control().nanoTime()));
     }
 
-    private void giveUp(RefusalCause cause) {
+    private void giveUp(Refused refused) {
+        RefusalCause cause = refused.cause();
         boolean streamStarted;
         Optional<CompleteResponse> serverError;
         synchronized (this) {
@@ -213,7 +235,7 @@
             return;
         }
         log.logRefused(cause);
-        context.refusals().sendRefusal(callerResponse, cause);
+        context.refusals().sendRefusal(callerResponse, refused);
     }
 
     private void onDeadline() {
@@ -239,7 +261,7 @@
             return;
         }
         log.logRefused(cause);
-        context.refusals().sendRefusal(callerResponse, cause);
+        context.refusals().sendRefusal(callerResponse, new Refused(cause));
     }
 
     private void onCallerDisconnected() {
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -91,12 +91,18 @@
                         () ->
                                 context.state()
                                         .onResponseHeaders(send, decodedHead.load(), nowNanos));
+        String requestId = call.job().request().id();
+        if (decodedHead.isFromAddressedUpstream(requestId)) {
+            call.onAnnouncement(send, decodedHead.announcement());
+        }
         if (decodedHead.isSuccess() && hasLowConfidence(decodedHead)) {
             finish(SendOutcome.DOUBTED, Optional.empty());
             return;
         }
         // Its body may have no end, so the send does not wait for it.
-        outcomeWithoutBody(decodedHead).ifPresent(outcome -> finish(outcome, Optional.empty()));
+        decodedHead
+                .outcomeWithoutBody(requestId)
+                .ifPresent(outcome -> finish(outcome, Optional.empty()));
     }
 
     @Override
@@ -222,23 +228,6 @@
                 && !call.isStreaming();
     }
 
-    /** The outcome if the head alone decides it; empty if the body counts. */
-    private Optional<SendOutcome> outcomeWithoutBody(ResponseHead decodedHead) {
-        String ownId = call.job().request().id();
-        if (decodedHead.requestId().filter(id -> !id.equals(ownId)).isPresent()) {
-            return Optional.of(SendOutcome.BROKEN);
-        }
-        if (decodedHead.misdirected()) {
-            return Optional.of(SendOutcome.MISDIRECTED);
-        }
-        if (decodedHead.requestNotRun()) {
-            return Optional.of(SendOutcome.NOT_RUN);
-        }
-        return decodedHead.isValidResponseTo(ownId)
-                ? Optional.empty()
-                : Optional.of(SendOutcome.BROKEN);
-    }
-
     private void recordFirstByte() {
         if (firstByteNanos == 0) {
             recordProgress();
--- a/router/src/test/java/org/wigeonferry/router/TestProtocol.java
+++ b/router/src/test/java/org/wigeonferry/router/TestProtocol.java
@@ -9,8 +9,12 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 import org.wigeonferry.routing.RoutedRequest;
+import org.wigeonferry.routing.UpstreamAnnouncement;
 
-/** A wire protocol for tests: the headers Id, Stamp, Not-Run and Last-Event-Id. */
+/**
+ * A wire protocol for tests: the headers Id, Stamp, Not-Run, Leaving, Retry-After and
+ * Last-Event-Id.
+ */
 final class TestProtocol {
     private static final Set<String> NOT_FORWARDED_FIELDS =
             Set.of("connection", "content-length", "transfer-encoding");
@@ -35,6 +39,11 @@
                                 fields.contains("Content-Encoding"),
                                 Optional.empty(),
                                 Optional.empty(),
+                                new UpstreamAnnouncement(
+                                        fields.contains("Leaving"),
+                                        Optional.ofNullable(fields.get("Retry-After"))
+                                                .map(Long::parseLong)
+                                                .map(Duration::ofSeconds)),
                                 forwardedFields(fields)));
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/Job.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Job.java
@@ -72,6 +72,14 @@
         return possibleRuns.get();
     }
 
+    /** Whether another send is allowed: no upstream may have run it, or it may run again. */
+    boolean mayRunAgain() {
+        if (possibleRuns() == 0) {
+            return true;
+        }
+        return route.kind().isRepeatable() && possibleRuns() < route.maxRuns();
+    }
+
     /** Whether an answer of a small model was dropped for its low confidence. */
     boolean lowConfidenceAnswerDropped() {
         return lowConfidenceAnswerDropped;
--- a/routing/src/main/java/org/wigeonferry/routing/PlacementRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PlacementRules.java
@@ -12,10 +12,12 @@
  */
 final class PlacementRules {
     private final RoutingLimits limits;
+    private final UpstreamNotices notices;
     private final Set<String> disabledZones = new HashSet<>();
 
-    PlacementRules(RoutingLimits limits) {
+    PlacementRules(RoutingLimits limits, UpstreamNotices notices) {
         this.limits = limits;
+        this.notices = notices;
     }
 
     /** Disables an availability zone for new sends, or enables it again. */
@@ -36,6 +38,7 @@
     UpstreamRule all(Optional<RoutingConfig> config, LiveRouters routers) {
         return UpstreamRules.SERVES_JOB
                 .and(UpstreamRules.NOT_DRAINING)
+                .and(notices.rule(routers.ownName()))
                 .and(UpstreamRules.NOT_TRIED)
                 .and(UpstreamRules.outsideZones(disabledZones))
                 .and(UpstreamRules.withinColdRate(target -> ownColdRate(target, config, routers)));
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -56,7 +56,7 @@
                 new UpstreamDirectory(
                         limits.outageGracePeriod(), s -> config.flatMap(c -> c.serviceTraits(s)));
         rollOuts = new RollOutTracker(limits);
-        placementRules = new PlacementRules(limits);
+        placementRules = new PlacementRules(limits, upstreams.notices());
         selector = new UpstreamSelector(zone, upstreams, peerLoads);
     }
 
@@ -143,7 +143,7 @@
         if (poisonRegister.isRefused(requestDigest, parts, routers, nowNanos)) {
             return refusalOrOutcomeUnknown(job, RefusalCause.POISON);
         }
-        if (!mayRunAgain(job)) {
+        if (!job.mayRunAgain()) {
             return refusalOrOutcomeUnknown(job, RefusalCause.NOT_RUN);
         }
         ModelSelection selection =
@@ -161,7 +161,7 @@
                         .flatMap(Optional::stream)
                         .findFirst();
         if (upstream.isEmpty()) {
-            return refusalOrOutcomeUnknown(job, RefusalCause.NO_UPSTREAM);
+            return noUpstream(job, nowNanos);
         }
         if (job.wasSentBefore()
                 && !stateOf(job.service())
@@ -266,17 +266,17 @@
                 && poisonRegister.onCrash(requestDigest, parts, upstream, nowNanos);
     }
 
-    private static boolean mayRunAgain(Job job) {
-        if (job.possibleRuns() == 0) {
-            return true;
-        }
-        return job.route().kind().isRepeatable() && job.possibleRuns() < job.route().maxRuns();
-    }
-
     private static Refused refusalOrOutcomeUnknown(Job job, RefusalCause cause) {
         return new Refused(job.possibleRuns() > 0 ? RefusalCause.OUTCOME_UNKNOWN : cause);
     }
 
+    private Refused noUpstream(Job job, long nowNanos) {
+        Refused refused = refusalOrOutcomeUnknown(job, RefusalCause.NO_UPSTREAM);
+        return new Refused(
+                refused.cause(),
+                upstreams.soonestReturn(job.service(), routers.ownName(), nowNanos));
+    }
+
     private UpstreamRule commonRule() {
         return placementRules.all(config, routers);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -20,6 +20,7 @@
     private final Function<String, Optional<ServiceTraits>> traits;
     private final Map<String, UpstreamState> upstreamStates = new HashMap<>();
     private final Map<String, Long> removalNanosById = new HashMap<>();
+    private final UpstreamNotices notices = new UpstreamNotices();
     private final EnginePartition enginePartition = new EnginePartition();
     private boolean enginePartitionCurrent;
     private long graceEndNanos;
@@ -57,6 +58,7 @@
         removalNanosById.remove(upstream.id());
         if (state == null || !state.instance().incarnation().equals(upstream.incarnation())) {
             upstreamStates.put(upstream.id(), newState(upstream, nowNanos));
+            notices.onIncarnation(upstream.incarnation());
             enginePartitionCurrent = false;
             return;
         }
@@ -117,6 +119,23 @@
                 .filter(state -> state.instance().incarnation().equals(incarnation));
     }
 
+    /** What upstreams have said of themselves. */
+    public UpstreamNotices notices() {
+        return notices;
+    }
+
+    /** Time until a service's first upstream that pauses may be used; empty if none pauses. */
+    Optional<Duration> soonestReturn(String service, String router, long nowNanos) {
+        return notices.soonestReturn(
+                upstreamStates.values().stream()
+                        .map(UpstreamState::instance)
+                        .filter(instance -> instance.service().equals(service))
+                        .map(UpstreamInstance::incarnation)
+                        .toList(),
+                router,
+                nowNanos);
+    }
+
     /** Requests that an upstream ran when it last told so, or else those of this router. */
     int runningRequests(UpstreamInstance upstream) {
         return state(upstream.incarnation()).map(UpstreamState::lastKnownRunning).orElse(0);
