Let any router try what tells equal suspects apart; tell at once what was answered here

Cause: only one of 33 routers might try a request with the shared part alone, and few such requests reach it. By reading: a router that had answered a suspect within 20 s told the others only with its periodic report. A suspect that another router reports and that was answered here is told at once. Suspects is a type of its own.

--- a/routing/src/main/java/org/wigeonferry/routing/Condemnation.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Condemnation.java
@@ -37,8 +37,17 @@
     }
 
     /**
-     * Time after the last crash in which only single requests are tried, by one router, so that a
-     * suspect that is still deadly crashes one more upstream and not one for each router.
+     * Whether a request with some condemned suspects holds all parts among the equal ones, so that
+     * trying it can't tell these apart.
+     */
+    boolean isDeadlyIfAnyIs(Collection<String> suspects) {
+        return Suspects.holdAllParts(suspects, equals);
+    }
+
+    /**
+     * Time after the last crash in which only single requests are tried. One that tells equal
+     * suspects apart may be tried by any router; others by one router only, so that a suspect that
+     * is still deadly crashes one more upstream and not one for each router.
      */
     Duration trialEnd() {
         return fullRefusal().multipliedBy(2);
--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -30,9 +30,6 @@
     /** Maximum number of suspects reported to the other routers. */
     private static final int MAX_REPORTED_SUSPECTS = 24;
 
-    /** Longer ids, which callers choose, are shortened, so that a report stays small. */
-    private static final int MAX_SUSPECT_LENGTH = 64;
-
     /** Crashes before this time no longer count. */
     private static final Duration EVIDENCE_TTL = Duration.ofMinutes(10);
 
@@ -49,6 +46,7 @@
     private final AnswerLog peerAnswers = new AnswerLog();
     private Map<String, Condemnation> condemned = Map.of();
     private BiConsumer<String, Condemnation> condemnationListener = (suspect, condemnation) -> {};
+    private Set<String> reportedAnswers = Set.of();
     private PoisonNews news = PoisonNews.NONE;
 
     /** Sets what is called, on the control thread, when a suspect is condemned. */
@@ -62,7 +60,7 @@
             return false;
         }
         List<String> suspects =
-                suspects(digest, parts).stream().filter(condemned::containsKey).toList();
+                Suspects.of(digest, parts).stream().filter(condemned::containsKey).toList();
         if (suspects.stream().anyMatch(s -> isSuspectRefused(s, suspects, routers, nowNanos))) {
             return true;
         }
@@ -78,7 +76,7 @@
     boolean onCrash(String digest, List<PromptPart> parts, Incarnation upstream, long nowNanos) {
         int crash = crashKeys.keyOfLoss(upstream, nowNanos);
         Map<String, Condemnation> before = condemned;
-        for (String suspect : suspects(digest, parts)) {
+        for (String suspect : Suspects.of(digest, parts)) {
             if (isAnsweredRecently(suspect, nowNanos)) {
                 continue;
             }
@@ -88,18 +86,18 @@
             }
         }
         attribute(nowNanos);
-        return suspects(digest, parts).stream()
+        return Suspects.of(digest, parts).stream()
                 .anyMatch(s -> condemned.containsKey(s) && !before.containsKey(s));
     }
 
     /** Records an answer that was well under way, which proves all suspects of it harmless. */
     void onAnswer(String digest, List<PromptPart> parts, long nowNanos) {
         boolean refuted = false;
-        for (String suspect : suspects(digest, parts)) {
+        for (String suspect : Suspects.of(digest, parts)) {
             CrashEvidence known = evidence.get(suspect);
             if (known != null
                     && known.crashes().size() + known.refuted().size() > 1
-                    && !ownAnswers.isAnsweredRecently(suspect, nowNanos)) {
+                    && !reportedAnswers.contains(suspect)) {
                 raiseNews(PoisonNews.REPEATED_CRASH);
             }
             ownAnswers.record(suspect, nowNanos);
@@ -110,7 +108,7 @@
         }
     }
 
-    /** What the other routers should know. */
+    /** What the other routers should know; counts as told from now on. */
     public PoisonReport report(long nowNanos) {
         Map<String, CrashReport> crashes =
                 evidence.entrySet().stream()
@@ -126,6 +124,7 @@
                         .filter(suspect -> ownAnswers.isAnsweredRecently(suspect, nowNanos))
                         .limit(MAX_REPORTED_SUSPECTS)
                         .collect(Collectors.toSet());
+        reportedAnswers = answered;
         return new PoisonReport(crashes, answered);
     }
 
@@ -147,40 +146,25 @@
                             peerAnswers.record(suspect, nowNanos);
                             refute(suspect);
                         });
-        report.crashes()
-                .forEach(
-                        (suspect, crashes) ->
-                                addCrashes(
-                                        suspect,
-                                        crashes.crashes(),
-                                        nowNanos - crashes.age().toNanos(),
-                                        nowNanos));
+        report.crashes().forEach((suspect, crashes) -> applyCrashes(suspect, crashes, nowNanos));
         attribute(nowNanos);
     }
 
+    /** Another router that has not seen an answer may refuse what was answered here. */
+    private void applyCrashes(String suspect, CrashReport crashes, long nowNanos) {
+        addCrashes(suspect, crashes.crashes(), nowNanos - crashes.age().toNanos(), nowNanos);
+        if (crashes.crashes().size() > 1
+                && ownAnswers.isAnsweredRecently(suspect, nowNanos)
+                && !reportedAnswers.contains(suspect)) {
+            raiseNews(PoisonNews.REPEATED_CRASH);
+        }
+    }
+
     private static CrashReport report(CrashEvidence known, long nowNanos) {
         return new CrashReport(
                 known.crashes(), Duration.ofNanos(Math.max(0, nowNanos - known.lastNanos())));
     }
 
-    /** The last part belongs to one request or session, which its digest stands for. */
-    private static List<String> suspects(String digest, List<PromptPart> parts) {
-        List<String> suspects =
-                parts.stream()
-                        .limit(Math.max(0, parts.size() - 1))
-                        .map(part -> shorten(part.id()))
-                        .distinct()
-                        .collect(Collectors.toList());
-        suspects.add(digest);
-        return suspects;
-    }
-
-    private static String shorten(String id) {
-        return id.length() <= MAX_SUSPECT_LENGTH
-                ? id
-                : id.substring(0, MAX_SUSPECT_LENGTH) + '#' + Integer.toHexString(Hashes.key(id));
-    }
-
     private boolean isSuspectRefused(
             String suspect, List<String> suspects, LiveRouters routers, long nowNanos) {
         if (isAnsweredRecently(suspect, nowNanos)) {
@@ -195,8 +179,10 @@
             return false;
         }
         Long trial = lastTrialNanos.get(suspect);
-        boolean tried = trial != null && nowNanos - trial < MIN_TRIAL_INTERVAL.toNanos();
-        return tried || routers.shareOf(1, suspect) == 0;
+        if (trial != null && nowNanos - trial < MIN_TRIAL_INTERVAL.toNanos()) {
+            return true;
+        }
+        return condemnation.isDeadlyIfAnyIs(suspects) && routers.shareOf(1, suspect) == 0;
     }
 
     private boolean isAnsweredRecently(String suspect, long nowNanos) {
