Count no crash that another router reports shortly after an answer here

By reading: a report's answers were applied before its crashes, and crashes reported within 20 s of an answer here were kept and counted once that time was over, though the router's own ones are not. Change: such crashes are refuted at once. Test: PoisonRegisterTest.crashesReportedShortlyAfterAnAnswerNeverCount.

--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -140,19 +140,19 @@
 
     /** Merges what a router reported; an earlier life of this one counts like another router. */
     public void applyReport(PoisonReport report, long nowNanos) {
-        report.answered()
-                .forEach(
-                        suspect -> {
-                            peerAnswers.record(suspect, nowNanos);
-                            refute(suspect);
-                        });
+        report.answered().forEach(suspect -> peerAnswers.record(suspect, nowNanos));
         report.crashes().forEach((suspect, crashes) -> applyCrashes(suspect, crashes, nowNanos));
+        report.answered().forEach(this::refute);
         attribute(nowNanos);
     }
 
-    /** Another router that has not seen an answer may refuse what was answered here. */
+    /** A router that has not seen an answer may refuse what was answered here, so it is told. */
     private void applyCrashes(String suspect, CrashReport crashes, long nowNanos) {
         addCrashes(suspect, crashes.crashes(), nowNanos - crashes.age().toNanos(), nowNanos);
+        if (!isAnsweredRecently(suspect, nowNanos)) {
+            return;
+        }
+        refute(suspect);
         if (crashes.crashes().size() > 1
                 && ownAnswers.isAnsweredRecently(suspect, nowNanos)
                 && !reportedAnswers.contains(suspect)) {
--- a/routing/src/test/java/org/wigeonferry/routing/PoisonRegisterTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/PoisonRegisterTest.java
@@ -154,6 +154,16 @@
                 .containsExactly(Suspects.ofPart("sound"));
     }
 
+    @Test
+    void crashesReportedShortlyAfterAnAnswerNeverCount() {
+        register.onAnswer("y", parts("sound", "own"), 0);
+        CrashReport crashes = new CrashReport(Set.of(1, 2, 3), Duration.ZERO);
+        PoisonReport report = new PoisonReport(Map.of(Suspects.ofPart("sound"), crashes), Set.of());
+        register.applyReport(report, NANOS_PER_SECOND);
+        register.applyReport(report, 21 * NANOS_PER_SECOND);
+        assertThat(isRefused("z", parts("sound", "own-2"), 21)).isFalse();
+    }
+
     @Test
     void requestThatTellsEqualSuspectsApartIsTriedByAnyRouter() {
         Set<String> names = Set.of("a", "b", "c", "d");
