Names: poison for what crashes upstreams, equallyLikely, RollOutMonitor

The code said 'deadly' and 'poison' for one thing, a component named equals read like Object.equals, and RollOutDriver stood in two modules for two things. Names and the log key equally_likely only.

--- a/router/src/main/java/org/wigeonferry/router/RollOutDriver.java
+++ b/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
@@ -11,17 +11,17 @@
 import org.wigeonferry.routing.RollOutTracker;
 
 /**
- * Reports what is decided on roll-outs to the store.
+ * Decides roll-outs by their evidence, and reports what is new to the store.
  *
  * <p>Owned by the control thread.
  */
-final class RollOutDriver {
+final class RollOutMonitor {
     private static final Logger LOG = LoggerFactory.getLogger("control");
 
     private final RollOutTracker rollOuts;
     private final StoreReporters reporters;
 
-    RollOutDriver(RollOutTracker rollOuts, StoreReporters reporters) {
+    RollOutMonitor(RollOutTracker rollOuts, StoreReporters reporters) {
         this.rollOuts = rollOuts;
         this.reporters = reporters;
     }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -43,7 +43,7 @@
     private final RoutingState state;
     private final Optional<PeerAddress> peerAddress;
     private final StoreReporters reporters;
-    private final RollOutDriver rollOutDriver;
+    private final RollOutMonitor rollOutMonitor;
     private final PeerDirectory peers;
     private final LiveRouterTracker liveRouters;
     private final ReportSchedule reportSchedule = new ReportSchedule();
@@ -68,7 +68,7 @@
         this.state = state;
         this.peerAddress = peerAddress;
         this.reporters = reporters;
-        rollOutDriver = new RollOutDriver(state.rollOuts(), reporters);
+        rollOutMonitor = new RollOutMonitor(state.rollOuts(), reporters);
         peers = new PeerDirectory(name, peerAddress);
         state.poisonRegister().setCondemnationListener(RouterControl::logCondemned);
         liveRouters = new LiveRouterTracker(name, ROUTER_TIMEOUT, ASSUMED_ROUTER_COUNT);
@@ -243,13 +243,13 @@
         if (!storeAnswers) {
             return;
         }
-        rollOutDriver.decide(now);
+        rollOutMonitor.decide(now);
         publishIfDue();
     }
 
     private void publishIfDue() {
         PoisonRegister poison = state.poisonRegister();
-        if (!reportSchedule.takeDue(poison.news(), rollOutDriver.ownEvidenceOfNewReleases())) {
+        if (!reportSchedule.takeDue(poison.news(), rollOutMonitor.ownEvidenceOfNewReleases())) {
             return;
         }
         poison.onPublished();
@@ -266,14 +266,14 @@
 
     /** Whether a roll-out is running. */
     public boolean isRollOutRunning() {
-        return rollOutDriver.isRollOutRunning();
+        return rollOutMonitor.isRollOutRunning();
     }
 
     private static void logCondemned(String suspect, Condemnation condemnation) {
         LOG.atWarn()
                 .addKeyValue("suspect", suspect)
                 .addKeyValue("crashes", condemnation.crashes())
-                .addKeyValue("equals", String.join(",", condemnation.equals()))
+                .addKeyValue("equally_likely", String.join(",", condemnation.equallyLikely()))
                 .log("requests refused: they crash upstreams");
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/Condemnation.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Condemnation.java
@@ -10,9 +10,9 @@
  * <p>Immutable and thread safe.
  *
  * @param crashes number of crashes for which the suspect may be the cause
- * @param equals the suspects that explain the same crashes, this one included
+ * @param equallyLikely the suspects that explain the same crashes, this one included
  */
-public record Condemnation(int crashes, Set<String> equals) {
+public record Condemnation(int crashes, Set<String> equallyLikely) {
     /** Crashes from which a suspect is condemned. */
     static final int MIN_CRASHES = 3;
 
@@ -23,31 +23,31 @@
     private static final Duration AMBIGUOUS_REFUSAL = Duration.ofSeconds(2);
 
     public Condemnation {
-        equals = Set.copyOf(equals);
+        equallyLikely = Set.copyOf(equallyLikely);
     }
 
     /**
      * Time after the last crash in which a request with the suspect is always refused. One that
-     * holds all equal suspects holds the deadly one, whichever that is.
+     * holds all equal suspects holds the poison one, whichever that is.
      *
      * @param suspects the condemned suspects of the request
      */
     Duration refusal(Collection<String> suspects) {
-        return suspects.containsAll(equals) ? fullRefusal() : AMBIGUOUS_REFUSAL;
+        return suspects.containsAll(equallyLikely) ? fullRefusal() : AMBIGUOUS_REFUSAL;
     }
 
     /**
      * Whether a request with some condemned suspects holds all parts among the equal ones, so that
      * trying it can't tell these apart.
      */
-    boolean isDeadlyIfAnyIs(Collection<String> suspects) {
-        return Suspects.holdAllParts(suspects, equals);
+    boolean holdsAllParts(Collection<String> suspects) {
+        return Suspects.holdAllParts(suspects, equallyLikely);
     }
 
     /**
      * Time after the last crash in which only single requests are tried. One that tells equal
      * suspects apart may be tried by any router; others by one router only, so that a suspect that
-     * is still deadly crashes one more upstream and not one for each router.
+     * is still poison crashes one more upstream and not one for each router.
      */
     Duration trialEnd() {
         return fullRefusal().multipliedBy(2);
--- a/routing/src/main/java/org/wigeonferry/routing/CrashAttribution.java
+++ b/routing/src/main/java/org/wigeonferry/routing/CrashAttribution.java
@@ -10,7 +10,7 @@
 /**
  * Finds the likely causes of crashes among the suspects that were under way.
  *
- * <p>A crash takes harmless requests with it, and some are sent again beside the deadly one. So the
+ * <p>A crash takes harmless requests with it, and some are sent again beside the poison one. So the
  * suspect that explains most crashes is condemned first, and the crashes that it explains no longer
  * count against the others. Stateless and thread safe.
  */
--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -182,7 +182,7 @@
         if (trial != null && nowNanos - trial < MIN_TRIAL_INTERVAL.toNanos()) {
             return true;
         }
-        return condemnation.isDeadlyIfAnyIs(suspects) && routers.shareOf(1, suspect) == 0;
+        return condemnation.holdsAllParts(suspects) && routers.shareOf(1, suspect) == 0;
     }
 
     private boolean isAnsweredRecently(String suspect, long nowNanos) {
--- a/routing/src/test/java/org/wigeonferry/routing/FleetRun.java
+++ b/routing/src/test/java/org/wigeonferry/routing/FleetRun.java
@@ -10,17 +10,17 @@
 final class FleetRun {
     final String id;
     final List<PromptPart> parts;
-    final boolean deadly;
+    final boolean poison;
     final int router;
     int sends;
     int upstream;
     int startStep;
     int endStep;
 
-    FleetRun(String id, List<PromptPart> parts, boolean deadly, int router) {
+    FleetRun(String id, List<PromptPart> parts, boolean poison, int router) {
         this.id = id;
         this.parts = parts;
-        this.deadly = deadly;
+        this.poison = poison;
         this.router = router;
     }
 }
--- a/routing/src/test/java/org/wigeonferry/routing/PoisonFleet.java
+++ b/routing/src/test/java/org/wigeonferry/routing/PoisonFleet.java
@@ -8,7 +8,7 @@
 import java.util.Random;
 
 /**
- * Routers and upstreams in virtual time, in steps of 10 ms. Requests with the part {@code deadly}
+ * Routers and upstreams in virtual time, in steps of 10 ms. Requests with the part {@code poison}
  * crash the upstream that runs them 100 ms after their arrival, and with it all other runs there;
  * it is back 3 s later. Routers exchange reports as {@code ReportSchedule} decides, 200 ms late.
  *
@@ -36,7 +36,7 @@
     private int soundRequests;
     private int soundBegun;
     private final List<Integer> crashSteps = new ArrayList<>();
-    private final List<Integer> deadlyArrivalSteps = new ArrayList<>();
+    private final List<Integer> poisonArrivalSteps = new ArrayList<>();
 
     PoisonFleet(int routers, int upstreams, long seed) {
         random = new Random(seed);
@@ -57,18 +57,18 @@
     }
 
     /** Sends a request to a random router. */
-    void request(boolean deadly) {
+    void request(boolean poison) {
         String id = "q" + step + '-' + random.nextInt(1_000_000);
         List<PromptPart> parts = new ArrayList<>();
-        boolean besideDeadly = deadly || random.nextInt(4) == 0;
-        parts.add(new PromptPart(besideDeadly ? "shared-0" : "shared-" + random.nextInt(20), 50));
-        if (deadly) {
-            parts.add(random.nextInt(parts.size() + 1), new PromptPart("deadly", 50));
+        boolean besidePoison = poison || random.nextInt(4) == 0;
+        parts.add(new PromptPart(besidePoison ? "shared-0" : "shared-" + random.nextInt(20), 50));
+        if (poison) {
+            parts.add(random.nextInt(parts.size() + 1), new PromptPart("poison", 50));
         }
         parts.add(new PromptPart(id, 50));
-        FleetRun run = new FleetRun(id, parts, deadly, random.nextInt(registers.size()));
+        FleetRun run = new FleetRun(id, parts, poison, random.nextInt(registers.size()));
         boolean begun = trySend(run);
-        if (!deadly && besideDeadly) {
+        if (!poison && besidePoison) {
             soundRequests++;
             soundBegun += begun ? 1 : 0;
         }
@@ -103,12 +103,12 @@
         return crashSteps;
     }
 
-    List<Integer> deadlyArrivalSteps() {
-        return deadlyArrivalSteps;
+    List<Integer> poisonArrivalSteps() {
+        return poisonArrivalSteps;
     }
 
     /**
-     * Of the sound requests since the last call that share all other parts with the deadly ones,
+     * Of the sound requests since the last call that share all other parts with the poison ones,
      * the share whose first send was not refused.
      */
     double takeShareOfSoundRequestsBegun() {
@@ -140,14 +140,14 @@
         run.startStep = step;
         run.endStep = step + 40 + random.nextInt(160);
         runs.add(run);
-        if (run.deadly) {
-            deadlyArrivalSteps.add(step);
+        if (run.poison) {
+            poisonArrivalSteps.add(step);
         }
         return true;
     }
 
     private boolean mustCrash(FleetRun run) {
-        return run.deadly && step - run.startStep >= STEPS_TO_CRASH && runs.contains(run);
+        return run.poison && step - run.startStep >= STEPS_TO_CRASH && runs.contains(run);
     }
 
     private void crash(int upstream) {
--- a/routing/src/test/java/org/wigeonferry/routing/PoisonFleetTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/PoisonFleetTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Plays requests with a deadly part against fleets of routers. Bounds are the users': at most three
+ * Plays requests with a poison part against fleets of routers. Bounds are the users': at most three
  * such requests reach upstreams later than the contact time after the fifth crash, and from twice
  * that time on at least half of the sound requests with the same parts begin.
  */
@@ -18,7 +18,7 @@
 
     @ParameterizedTest
     @CsvSource({"1,4", "4,8", "5,12", "33,42"})
-    void deadlyRequestsStopAndSoundOnesGoOn(int routers, int upstreams) {
+    void poisonRequestsStopAndSoundOnesGoOn(int routers, int upstreams) {
         for (int seed = 0; seed < SEEDS; seed++) {
             play(routers, upstreams, seed, false);
         }
@@ -35,14 +35,14 @@
     private static void play(int routers, int upstreams, int seed, boolean restarts) {
         PoisonFleet fleet = new PoisonFleet(routers, upstreams, seed);
         Random random = new Random(~seed);
-        double deadlyPerSecond = 0.3 + 1.2 * random.nextDouble();
-        int firstDeadly = random.nextInt(6 * STEPS_PER_SECOND);
+        double poisonPerSecond = 0.3 + 1.2 * random.nextDouble();
+        int firstPoison = random.nextInt(6 * STEPS_PER_SECOND);
         boolean soundIsMeasured = false;
         for (int step = 0; step < 40 * STEPS_PER_SECOND; step++) {
             if (random.nextDouble() < 8.0 / STEPS_PER_SECOND) {
                 fleet.request(false);
             }
-            if (step >= firstDeadly && random.nextDouble() < deadlyPerSecond / STEPS_PER_SECOND) {
+            if (step >= firstPoison && random.nextDouble() < poisonPerSecond / STEPS_PER_SECOND) {
                 fleet.request(true);
             }
             if (restarts && step % (5 * STEPS_PER_SECOND) == 4 * STEPS_PER_SECOND) {
@@ -55,7 +55,7 @@
             }
         }
         int lastAllowed = fifthCrash(fleet) + CONTACT_STEPS;
-        assertThat(fleet.deadlyArrivalSteps().stream().filter(s -> s > lastAllowed).count())
+        assertThat(fleet.poisonArrivalSteps().stream().filter(s -> s > lastAllowed).count())
                 .as("late arrivals, seed %d, crashes at %s", seed, fleet.crashSteps())
                 .isLessThanOrEqualTo(3);
         assertThat(fleet.takeShareOfSoundRequestsBegun())
--- a/routing/src/test/java/org/wigeonferry/routing/DeadlyPromptPartTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/PoisonPromptPartTest.java
@@ -8,16 +8,16 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against requests that share a deadly prompt part, no two alike, crashing one upstream
+ * Guards against requests that share a poison prompt part, no two alike, crashing one upstream
  * after the other once the heads of their answers have arrived.
  */
-class DeadlyPromptPartTest {
+class PoisonPromptPartTest {
     private static final long NOW_NANOS = 100 * Fixtures.NANOS_PER_SECOND;
 
     private final RoutingState state = Fixtures.state(Fixtures.config(7), NOW_NANOS);
 
     @Test
-    void requestsThatShareADeadlyPartStopReachingUpstreams() {
+    void requestsThatShareAPoisonPartStopReachingUpstreams() {
         answerSoundRequest("sound-1");
         int crashes = 0;
         for (int i = 0; i < 8; i++) {
@@ -37,7 +37,7 @@
 
     private boolean isSentAndCrashes(String id) {
         state.upstreams().put(Fixtures.upstream("u-" + id, "model"), NOW_NANOS);
-        Job job = Fixtures.admit(state, request(id, "common", "shared", "deadly", id), NOW_NANOS);
+        Job job = Fixtures.admit(state, request(id, "common", "shared", "poison", id), NOW_NANOS);
         PlacementResult placement =
                 state.routeJob(job, "d-" + id, NOW_NANOS, Fixtures.wallMillis(NOW_NANOS));
         if (!(placement instanceof Send send)) {
--- a/routing/src/test/java/org/wigeonferry/routing/PoisonRegisterTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/PoisonRegisterTest.java
@@ -98,11 +98,11 @@
     @Test
     void partIsCondemnedThoughNoTwoRequestsAreAlike() {
         register.onAnswer("sound", parts("common", "own-0"), 0);
-        register.onCrash("x1", parts("common", "deadly", "own-1"), A, NANOS_PER_SECOND);
-        register.onCrash("x2", parts("common", "deadly", "own-2"), B, NANOS_PER_SECOND);
-        assertThat(register.onCrash("x3", parts("common", "deadly", "own-3"), C, NANOS_PER_SECOND))
+        register.onCrash("x1", parts("common", "poison", "own-1"), A, NANOS_PER_SECOND);
+        register.onCrash("x2", parts("common", "poison", "own-2"), B, NANOS_PER_SECOND);
+        assertThat(register.onCrash("x3", parts("common", "poison", "own-3"), C, NANOS_PER_SECOND))
                 .isTrue();
-        assertThat(isRefused("x4", parts("common", "deadly", "own-4"), 2)).isTrue();
+        assertThat(isRefused("x4", parts("common", "poison", "own-4"), 2)).isTrue();
         assertThat(isRefused("x5", parts("common", "own-5"), 2)).isFalse();
     }
 
@@ -116,28 +116,28 @@
     }
 
     @Test
-    void requestLostBesideADeadlyPartIsNotCondemned() {
-        List<PromptPart> deadly = parts("deadly", "own-1");
+    void requestLostBesideAPoisonPartIsNotCondemned() {
+        List<PromptPart> poison = parts("poison", "own-1");
         List<PromptPart> sound = parts("rare", "own-2");
         for (Incarnation upstream : List.of(A, B, C)) {
             register.onCrash("sound", sound, upstream, 0);
-            register.onCrash("x" + upstream.id(), deadly, upstream, 0);
+            register.onCrash("x" + upstream.id(), poison, upstream, 0);
         }
-        register.onCrash("y", deadly, new Incarnation("d", 1), 0);
+        register.onCrash("y", poison, new Incarnation("d", 1), 0);
         assertThat(isRefused("sound", sound, 1)).isFalse();
-        assertThat(isRefused("z", parts("deadly", "own-3"), 1)).isTrue();
+        assertThat(isRefused("z", parts("poison", "own-3"), 1)).isTrue();
     }
 
     @Test
     void oneOfTwoEqualSuspectsIsClearedByOneAnswerAtAnotherRouter() {
         for (Incarnation upstream : List.of(A, B, C)) {
-            register.onCrash("x" + upstream.id(), parts("sound", "deadly", "own"), upstream, 0);
+            register.onCrash("x" + upstream.id(), parts("sound", "poison", "own"), upstream, 0);
         }
         assertThat(isRefused("y", parts("sound", "own-2"), 1)).isTrue();
         register.applyReport(
                 new PoisonReport(Map.of(), Set.of(Suspects.ofPart("sound"))), NANOS_PER_SECOND);
         assertThat(isRefused("y", parts("sound", "own-2"), 2)).isFalse();
-        assertThat(isRefused("y", parts("deadly", "own-2"), 19)).isTrue();
+        assertThat(isRefused("y", parts("poison", "own-2"), 19)).isTrue();
     }
 
     @Test
@@ -168,7 +168,7 @@
     void requestThatTellsEqualSuspectsApartIsTriedByAnyRouter() {
         Set<String> names = Set.of("a", "b", "c", "d");
         for (Incarnation upstream : List.of(A, B, C)) {
-            register.onCrash("x" + upstream.id(), parts("sound", "deadly", "own"), upstream, 0);
+            register.onCrash("x" + upstream.id(), parts("sound", "poison", "own"), upstream, 0);
         }
         for (String name : names) {
             PoisonRegister other = new PoisonRegister();
@@ -185,7 +185,7 @@
     void condemnedSuspectIsTriedByOneRouterOneRequestAtATime() {
         Set<String> names = Set.of("a", "b", "c", "d");
         for (Incarnation upstream : List.of(A, B, C)) {
-            register.onCrash("x" + upstream.id(), parts("deadly", "own"), upstream, 0);
+            register.onCrash("x" + upstream.id(), parts("poison", "own"), upstream, 0);
         }
         PoisonReport report = register.report(0);
         long trials = names.stream().mapToLong(name -> trials(name, names, report)).sum();
@@ -202,7 +202,7 @@
                         i ->
                                 !other.isRefused(
                                         "y" + i,
-                                        parts("deadly", "own-" + i),
+                                        parts("poison", "own-" + i),
                                         routers,
                                         20 * NANOS_PER_SECOND + i * NANOS_PER_SECOND / 20))
                 .count();
@@ -212,25 +212,25 @@
     void evidenceOutlivesTheRouterThatSawIt() {
         PoisonRegister witness = new PoisonRegister();
         for (Incarnation upstream : List.of(A, B, C)) {
-            witness.onCrash("x" + upstream.id(), parts("deadly", "own"), upstream, 0);
+            witness.onCrash("x" + upstream.id(), parts("poison", "own"), upstream, 0);
         }
         register.applyReport(witness.report(0), 0);
         PoisonRegister restarted = new PoisonRegister();
         restarted.applyReport(register.report(NANOS_PER_SECOND), NANOS_PER_SECOND);
-        assertThat(restarted.isRefused("y", parts("deadly", "own"), ROUTERS, 2 * NANOS_PER_SECOND))
+        assertThat(restarted.isRefused("y", parts("poison", "own"), ROUTERS, 2 * NANOS_PER_SECOND))
                 .isTrue();
     }
 
     @Test
     void refusalEndsAndOneCrashMoreRenewsIt() {
         for (Incarnation upstream : List.of(A, B, C)) {
-            register.onCrash("x" + upstream.id(), parts("deadly", "own"), upstream, 0);
+            register.onCrash("x" + upstream.id(), parts("poison", "own"), upstream, 0);
         }
-        assertThat(isRefused("y", parts("deadly", "own"), 19)).isTrue();
-        assertThat(isRefused("y", parts("deadly", "own"), 21)).isFalse();
+        assertThat(isRefused("y", parts("poison", "own"), 19)).isTrue();
+        assertThat(isRefused("y", parts("poison", "own"), 21)).isFalse();
         register.onCrash(
-                "y", parts("deadly", "own"), new Incarnation("d", 1), 22 * NANOS_PER_SECOND);
-        assertThat(isRefused("y", parts("deadly", "own"), 61)).isTrue();
+                "y", parts("poison", "own"), new Incarnation("d", 1), 22 * NANOS_PER_SECOND);
+        assertThat(isRefused("y", parts("poison", "own"), 61)).isTrue();
     }
 
     @Test
