Log how responses mark their end, and what a restarted router finds of a roll-out

The hypotheses on ORDER differ in the framing of the upstream's response and of the router's own: send ended has framing, and so have the last lines on a stream. Those on EXPOSURE differ in the time since the start that the decision sees, and in what the report of an earlier life held: roll-out decided has elapsed_ms, and the own report is logged when a router reads it at its start. No decision changes.

--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -56,8 +56,14 @@
      * Logs the end of a send; {@code first_ms} is -1 if no byte of the body arrived, {@code
      * gap_us}, the mean time between events, if there were fewer than two. The prompt's parts are
      * logged unless an answer was delivered, as one of them may have crashed the upstream.
+     *
+     * @param framing how the upstream marks the end of its response; empty if no head arrived
      */
-    void logSendEnded(SendReport report, Optional<ResponseHead> head, Optional<Throwable> cause) {
+    void logSendEnded(
+            SendReport report,
+            Optional<ResponseHead> head,
+            Optional<MessageFraming> framing,
+            Optional<Throwable> cause) {
         SendOutcome outcome = report.outcome();
         metrics.count("sends_" + lowerCase(outcome.name()), "service", job.service());
         LoggingEventBuilder event = newLogEvent(outcome.isFailure() ? Level.WARN : Level.INFO);
@@ -73,6 +79,7 @@
                         "gap_us", report.meanEventGap().map(g -> g.toNanos() / 1000).orElse(-1L))
                 .addKeyValue("status", head.map(ResponseHead::status).orElse(0))
                 .addKeyValue("confidence", head.flatMap(ResponseHead::confidence).orElse(-1))
+                .addKeyValue("framing", framing.map(f -> lowerCase(f.name())).orElse(""))
                 .addKeyValue("cause", cause.map(String::valueOf).orElse(""))
                 .log("send ended");
     }
@@ -82,9 +89,7 @@
     }
 
     void logAnswered(int status) {
-        String account = job.account().map(Account::name).orElse("");
-        metrics.recordDuration("answered", "account", account, elapsed());
-        newFinalLogEvent(Level.INFO).addKeyValue("status", status).log("answered");
+        newAnsweredEvent(status).log("answered");
     }
 
     void logRefused(RefusalCause cause) {
@@ -95,10 +100,16 @@
                 .log("refused");
     }
 
-    void logStreamAborted(RefusalCause cause) {
+    /** Logs that a stream was answered completely. */
+    void logStreamAnswered(MessageFraming framing) {
+        newAnsweredEvent(200).addKeyValue("framing", lowerCase(framing.name())).log("answered");
+    }
+
+    void logStreamAborted(RefusalCause cause, MessageFraming framing) {
         metrics.count("broken_off", "service", job.service());
         newFinalLogEvent(Level.WARN)
                 .addKeyValue("cause", lowerCase(cause.name()))
+                .addKeyValue("framing", lowerCase(framing.name()))
                 .log("stream broken off");
     }
 
@@ -130,6 +141,12 @@
                 .collect(Collectors.joining(","));
     }
 
+    private LoggingEventBuilder newAnsweredEvent(int status) {
+        String account = job.account().map(Account::name).orElse("");
+        metrics.recordDuration("answered", "account", account, elapsed());
+        return newFinalLogEvent(Level.INFO).addKeyValue("status", status);
+    }
+
     private LoggingEventBuilder newFinalLogEvent(Level level) {
         return newLogEvent(level)
                 .addKeyValue("runs", job.possibleRuns())
--- a/router/src/main/java/org/wigeonferry/router/CallerResponse.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerResponse.java
@@ -7,6 +7,9 @@
 import java.util.Deque;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -46,6 +49,11 @@
         response.write(true, ByteBuffer.wrap(body), callback);
     }
 
+    /** How the end of a stream is marked: by its connection, unless that is kept. */
+    MessageFraming streamFraming() {
+        return isConnectionKept() ? MessageFraming.CHUNKED : MessageFraming.CLOSE;
+    }
+
     /** Sets status and header fields; they are sent with the first events. */
     synchronized void startStream(int status, HttpFields fields) {
         setHead(status, fields);
@@ -76,6 +84,17 @@
         }
     }
 
+    private boolean isConnectionKept() {
+        Request request = response.getRequest();
+        return request.getConnectionMetaData().getHttpVersion() != HttpVersion.HTTP_1_0
+                && !isClosing(request.getHeaders())
+                && !isClosing(response.getHeaders());
+    }
+
+    private static boolean isClosing(HttpFields fields) {
+        return fields.contains(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+    }
+
     private void setHead(int status, HttpFields fields) {
         response.setStatus(status);
         response.getHeaders().add(fields);
--- a/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
+++ b/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
@@ -29,7 +29,8 @@
     /** Decides the state and the traffic move of each roll-out, and reports what is new. */
     void decide(long nowNanos) {
         for (RollOut rollOut : rollOuts.orders()) {
-            rollOuts.nextState(rollOut, nowNanos).ifPresent(next -> report(rollOut, next));
+            rollOuts.nextState(rollOut, nowNanos)
+                    .ifPresent(next -> report(rollOut, next, nowNanos));
             if (rollOuts.shouldStartMove(rollOut, nowNanos)) {
                 reporters.moves().report(rollOut, rollOuts.move(rollOut.service()), nowNanos);
             }
@@ -56,11 +57,12 @@
         return rollOuts.state(rollOut).filter(s -> s != RollOutState.RUNNING).isPresent();
     }
 
-    private void report(RollOut rollOut, RollOutState next) {
+    private void report(RollOut rollOut, RollOutState next, long nowNanos) {
         LOG.atInfo()
                 .addKeyValue("service", rollOut.service())
                 .addKeyValue("release", rollOut.release())
                 .addKeyValue("state", next)
+                .addKeyValue("elapsed_ms", rollOut.elapsed(nowNanos).toMillis())
                 .addKeyValue("evidence", rollOuts.totalEvidence(rollOut))
                 .log("roll-out decided");
         reporters.rollOuts().report(rollOut, next, rollOuts.status(rollOut.service()));
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -104,7 +104,11 @@
     /** Records the end of a send; then responds to the caller, or resends where that is allowed. */
     void onSendEnded(
             RoutedSend routedSend, SendReport report, Optional<CompleteResponse> response) {
-        log.logSendEnded(report, routedSend.responseHead(), routedSend.connectionFailure());
+        log.logSendEnded(
+                report,
+                routedSend.responseHead(),
+                routedSend.responseFraming(),
+                routedSend.connectionFailure());
         context.control()
                 .execute(
                         () -> {
@@ -154,7 +158,7 @@
                     complete.head().status(), complete.head().forwardedFields(), complete.body());
             return;
         }
-        log.logAnswered(200);
+        log.logStreamAnswered(callerResponse.streamFraming());
         callerResponse.endStream();
     }
 
@@ -225,7 +229,7 @@
             serverError = lastServerError;
         }
         if (streamStarted) {
-            log.logStreamAborted(cause);
+            log.logStreamAborted(cause, callerResponse.streamFraming());
             callerResponse.abort(
                     new IOException("stream aborted, no further send possible: " + cause));
             return;
@@ -256,7 +260,7 @@
         }
         openSend.ifPresent(routedSend -> routedSend.cancel(SendOutcome.SILENT));
         if (streamStarted) {
-            log.logStreamAborted(RefusalCause.TIMED_OUT);
+            log.logStreamAborted(RefusalCause.TIMED_OUT, callerResponse.streamFraming());
             callerResponse.abort(new IOException("stream aborted: request deadline exceeded"));
             return;
         }
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -51,6 +51,7 @@
     private final BufferReservation reservation;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile Optional<ResponseHead> responseHead = Optional.empty();
+    private volatile Optional<MessageFraming> responseFraming = Optional.empty();
     private volatile Runnable closeConnection = () -> {};
     private volatile Optional<Throwable> connectionFailure = Optional.empty();
     private volatile long firstByteNanos;
@@ -84,6 +85,7 @@
     @Override
     public void onHeaders(int status, HttpFields fields) {
         ResponseHead decodedHead = context.protocol().responseHeadDecoder().decode(status, fields);
+        responseFraming = Optional.of(MessageFraming.of(fields));
         responseHead = Optional.of(decodedHead);
         long nowNanos = context.control().nanoTime();
         context.control()
@@ -160,6 +162,11 @@
         return responseHead;
     }
 
+    /** How the upstream marks the end of its response; empty before the head arrives. */
+    Optional<MessageFraming> responseFraming() {
+        return responseFraming;
+    }
+
     /** The error with which the connection failed; empty if it did not fail. */
     Optional<Throwable> connectionFailure() {
         return connectionFailure;
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -212,12 +212,22 @@
             state.poisonRegister().applyReport(report.poison(), control.nanoTime());
         }
         if (own) {
+            logOwnReport(report);
             return;
         }
         peers.onReport(router, report.peerAddress());
         state.rollOuts().applyPeerEvidence(router, report.evidence());
     }
 
+    private void logOwnReport(RouterReport report) {
+        if (heartbeat == 0) {
+            LOG.atInfo()
+                    .addKeyValue("heartbeat", report.heartbeat())
+                    .addKeyValue("evidence", report.evidence())
+                    .log("report of an earlier life");
+        }
+    }
+
     /** The other live routers of the availability zone that take load reports. */
     List<HostAddress> zonePeers() {
         return peers.zonePeers();
--- a/routing/src/main/java/org/wigeonferry/routing/RollOut.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOut.java
@@ -13,4 +13,9 @@
  * @param startNanos when this process learned of the order, on the monotonic clock
  */
 public record RollOut(
-        String service, String release, Duration duration, long revision, long startNanos) {}
+        String service, String release, Duration duration, long revision, long startNanos) {
+    /** Time since the start, for all that this process knows. */
+    public Duration elapsed(long nowNanos) {
+        return Duration.ofNanos(nowNanos - startNanos);
+    }
+}
