RollOutFleet: upstreams of the new release come with its order

Exposure stays in its bounds, since the time in which no session moves starts anew with each restart.

--- a/router/src/test/java/org/wigeonferry/router/RollOutFleet.java
+++ b/router/src/test/java/org/wigeonferry/router/RollOutFleet.java
@@ -74,7 +74,10 @@
                 Optional.of(
                         new RollOut(
                                 SERVICE, NEW_RELEASE, duration, ORDER_REVISION, time.nanoTime()));
-        routers.values().forEach(router -> router.readOrder(order.get()));
+        for (VirtualRouter router : routers.values()) {
+            router.readUpstreams(upstreams(NEW_RELEASE));
+            router.readOrder(order.get());
+        }
     }
 
     /** Kills all routers; each starts again a little later. */
@@ -145,8 +148,11 @@
     private void start(String name) {
         VirtualRouter router = new VirtualRouter(name, this);
         routers.put(name, router);
-        router.readConfiguration(config(), upstreams());
-        order.ifPresent(router::readOrder);
+        router.readConfiguration(config(), upstreams(OLD_RELEASE));
+        if (order.isPresent()) {
+            router.readUpstreams(upstreams(NEW_RELEASE));
+            router.readOrder(order.get());
+        }
         time.after(Duration.ofMillis(100), () -> readStoredState(router));
         router.pollReports(() -> reports);
         router.sendRequests(REQUEST_INTERVAL);
@@ -195,11 +201,10 @@
                 .build();
     }
 
-    private static List<UpstreamInstance> upstreams() {
+    private static List<UpstreamInstance> upstreams(String release) {
         List<UpstreamInstance> upstreams = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS_PER_RELEASE; i++) {
-            upstreams.add(upstream("old-" + i, OLD_RELEASE));
-            upstreams.add(upstream("new-" + i, NEW_RELEASE));
+            upstreams.add(upstream(release + '-' + i, release));
         }
         return upstreams;
     }
--- a/router/src/test/java/org/wigeonferry/router/RollOutForgottenAtRestartTest.java
+++ b/router/src/test/java/org/wigeonferry/router/RollOutForgottenAtRestartTest.java
@@ -19,6 +19,9 @@
     private static final Duration DURATION = Duration.ofSeconds(16);
     private static final double BAD = 0.5;
 
+    /** From the order to a time at which the new release has got requests. */
+    private static final Duration EXPOSED = Duration.ofSeconds(10);
+
     /** Largest share of the requests that a bad release may get, and requests beyond it. */
     private static final double MAX_EXPOSURE = 0.15;
 
@@ -88,8 +91,9 @@
     void evidenceThatWasReportedOutlivesItsRouters(int restarts) {
         RollOutFleet fleet = new RollOutFleet(4, BAD, 1);
         fleet.order(DURATION);
-        fleet.run(Duration.ofSeconds(4));
+        fleet.run(EXPOSED);
         long badBefore = fleet.badAnswersNanos().size();
+        assertThat(badBefore).isPositive();
         // A report is due within a second of a failure, and is read within two more.
         fleet.run(Duration.ofMillis(3500));
         for (int i = 0; i < restarts; i++) {
--- a/router/src/test/java/org/wigeonferry/router/VirtualRouter.java
+++ b/router/src/test/java/org/wigeonferry/router/VirtualRouter.java
@@ -59,10 +59,14 @@
     void readConfiguration(RoutingConfig config, List<UpstreamInstance> upstreams) {
         router.onStoreAnswered();
         router.onConfiguration(config);
-        upstreams.forEach(router::onUpstream);
+        readUpstreams(upstreams);
         router.onAllUpstreamsRead();
     }
 
+    void readUpstreams(List<UpstreamInstance> upstreams) {
+        upstreams.forEach(router::onUpstream);
+    }
+
     void readOrder(RollOut order) {
         router.onRollOutOrdered(
                 new RollOut(
