Keep what is known of a roll-out through restarts of its routers

Cause: start, deadline and evidence of a roll-out stood in the memory of each router, and in one row a router that its next life replaced with zeros. A router that started took the order for a new one. Class of fault: state that has to outlive a process, kept by the process.

RollOutForgottenAtRestartTest: 18 of 24 cases failed, none does now.

A router reads its own last report before it writes one, and adds it to what it counts. Until all tables have been read nothing goes to a new release. After an outage of the store, or a standstill, a completion or a roll-back for lack of evidence waits for the reports of the others. At 0.95 of its time a release that is not shown to be good is rolled back; before, it kept its share for ever. Reports follow the growth of sends, not of timed answers. Evidence of a router never shrinks, as a late write of an older report may come last. The evidence of several orders read one after the other is no longer dropped between them.

SlowReleaseTest: a release without streams to compare is now rolled back at 0.95 (asserted), where it was left undecided.

--- a/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
+++ b/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
@@ -21,8 +21,8 @@
     private static final int MIN_CHECKS_PER_FIRST_CRASH = 4;
 
     /**
-     * Growth of the number of timed answers that is reported before the period is over. The
-     * precision of a mean depends on the ratio of the counts.
+     * Growth of the number of sends that is reported before the period is over. The precision of a
+     * mean depends on the ratio of the counts.
      */
     private static final double REPORTED_GROWTH = 1.5;
 
@@ -34,7 +34,7 @@
      * Whether a report is due at this check; it then counts as published.
      *
      * <p>It is due if the period has passed, if the evidence of a roll-out shows more failures or
-     * notably more answers, or if poison requests may have crashed upstreams: at once if crashes
+     * notably more requests, or if poison requests may have crashed upstreams: at once if crashes
      * repeat, and soon for a first one, which only counts together with those of other routers. The
      * first check announces this router to the others; later reports keep it from being counted as
      * gone.
@@ -65,6 +65,6 @@
     private boolean isNews(String service, ReleaseEvidence evidence) {
         ReleaseEvidence published = publishedEvidence.getOrDefault(service, ReleaseEvidence.NONE);
         return evidence.bad() > published.bad()
-                || evidence.timed() > REPORTED_GROWTH * published.timed();
+                || evidence.sends() > REPORTED_GROWTH * published.sends();
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -10,11 +10,8 @@
 import org.wigeonferry.routing.Condemnation;
 import org.wigeonferry.routing.LiveRouters;
 import org.wigeonferry.routing.PoisonRegister;
-import org.wigeonferry.routing.RollOut;
-import org.wigeonferry.routing.RollOutStatus;
 import org.wigeonferry.routing.RoutingConfig;
 import org.wigeonferry.routing.RoutingState;
-import org.wigeonferry.routing.TrafficMove;
 import org.wigeonferry.routing.UpstreamInstance;
 
 /**
@@ -116,6 +113,7 @@
                         .isPresent();
         if (outage) {
             state.upstreams().onStoreRecovered(now);
+            rollOutMonitor.onStoreRecovered(now);
         }
         LOG.atInfo().addKeyValue("outage", outage).log("store answers");
     }
@@ -167,43 +165,14 @@
         LOG.atInfo().addKeyValue("zone", zone).addKeyValue("closed", disabled).log("zone");
     }
 
-    /** Applies the order to roll out a release. */
-    public void onRollOutOrdered(RollOut rollOut) {
-        state.rollOuts().onRollOutOrdered(rollOut);
-        LOG.atInfo()
-                .addKeyValue("service", rollOut.service())
-                .addKeyValue("release", rollOut.release())
-                .addKeyValue("revision", rollOut.revision())
-                .log("roll-out ordered");
-    }
-
-    /** Drops the roll-out of a service, whose order was removed. */
-    public void onRollOutRemoved(String service) {
-        state.rollOuts().onRollOutRemoved(service);
-    }
-
-    /** Applies the stored status of a roll-out. */
-    public void onRollOutStatus(RollOutStatus status) {
-        state.rollOuts().applyStatus(status);
-        LOG.atInfo()
-                .addKeyValue("service", status.service())
-                .addKeyValue("release", status.release())
-                .addKeyValue("state", status.state())
-                .log("roll-out state");
-    }
-
-    /** Applies the stored start of a traffic move. */
-    public void onTrafficMove(TrafficMove move) {
-        state.rollOuts().applyMove(move);
-        LOG.atInfo()
-                .addKeyValue("service", move.service())
-                .addKeyValue("order", move.orderRevision())
-                .log("traffic move started");
+    /** The roll-outs, to which what the store holds of them is applied. */
+    public RollOutMonitor rollOuts() {
+        return rollOutMonitor;
     }
 
     /**
      * Applies a router's report. The own report counts only as a sign that this router is live, but
-     * for what an earlier life of this router knew of poison requests.
+     * for what an earlier life of this router knew of poison requests and of roll-outs.
      */
     public void onRouterReport(String router, RouterReport report) {
         liveRouters.recordReport(router, control.nanoTime());
@@ -212,22 +181,15 @@
             state.poisonRegister().applyReport(report.poison(), control.nanoTime());
         }
         if (own) {
-            logOwnReport(report);
+            if (heartbeat == 0) {
+                rollOutMonitor.onOwnEarlierReport(report);
+            }
             return;
         }
         peers.onReport(router, report.peerAddress());
         state.rollOuts().applyPeerEvidence(router, report.evidence());
     }
 
-    private void logOwnReport(RouterReport report) {
-        if (heartbeat == 0) {
-            LOG.atInfo()
-                    .addKeyValue("heartbeat", report.heartbeat())
-                    .addKeyValue("evidence", report.evidence())
-                    .log("report of an earlier life");
-        }
-    }
-
     /** The other live routers of the availability zone that take load reports. */
     List<HostAddress> zonePeers() {
         return peers.zonePeers();
@@ -236,6 +198,7 @@
     /** Records that the reports of all routers have been read once. */
     public void onAllRouterReportsRead() {
         liveRouters.recordAllReportsRead(control.nanoTime());
+        rollOutMonitor.onAllReportsRead();
     }
 
     /** Whether the router can serve requests: it has a configuration and has read the upstreams. */
@@ -253,11 +216,18 @@
         if (!storeAnswers) {
             return;
         }
+        if (state.config().isPresent()) {
+            state.rollOuts().dropOldEvidence();
+        }
         rollOutMonitor.decide(now);
         publishIfDue();
     }
 
     private void publishIfDue() {
+        // The first report replaces the one of an earlier life, so that has to be read before.
+        if (!rollOutMonitor.isEvidenceRead()) {
+            return;
+        }
         PoisonRegister poison = state.poisonRegister();
         if (!reportSchedule.takeDue(poison.news(), rollOutMonitor.ownEvidenceOfNewReleases())) {
             return;
--- a/router/src/test/java/org/wigeonferry/router/RollOutFleet.java
+++ b/router/src/test/java/org/wigeonferry/router/RollOutFleet.java
@@ -11,6 +11,7 @@
 import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.RequestKind;
 import org.wigeonferry.routing.RollOut;
+import org.wigeonferry.routing.RollOutStart;
 import org.wigeonferry.routing.RollOutState;
 import org.wigeonferry.routing.RollOutStatus;
 import org.wigeonferry.routing.Route;
@@ -44,6 +45,7 @@
     private final List<Long> sendsToNewReleaseNanos = new ArrayList<>();
     private final List<Long> badAnswersNanos = new ArrayList<>();
     private Optional<RollOut> order = Optional.empty();
+    private Optional<RollOutStart> start = Optional.empty();
     private Optional<RollOutStatus> status = Optional.empty();
     private Optional<TrafficMove> move = Optional.empty();
     private long lastRevision = ORDER_REVISION;
@@ -159,8 +161,10 @@
     }
 
     private void readStoredState(VirtualRouter router) {
+        start.ifPresent(router::readStart);
         status.ifPresent(router::readStatus);
         move.ifPresent(router::readMove);
+        router.onAllStatusesRead();
     }
 
     private void writeStatus(RollOut rollOut, RollOutState state, Optional<RollOutStatus> known) {
@@ -168,6 +172,10 @@
             return;
         }
         lastRevision++;
+        if (state == RollOutState.RUNNING) {
+            start = Optional.of(new RollOutStart(SERVICE, ORDER_REVISION, rollOut.startNanos()));
+            routers.values().forEach(router -> router.readStart(start.get()));
+        }
         status = Optional.of(new RollOutStatus(SERVICE, NEW_RELEASE, state, lastRevision));
         routers.values().forEach(router -> router.readStatus(status.get()));
     }
--- a/router/src/test/java/org/wigeonferry/router/RollOutForgottenAtRestartTest.java
+++ b/router/src/test/java/org/wigeonferry/router/RollOutForgottenAtRestartTest.java
@@ -4,7 +4,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonferry.routing.RollOut;
@@ -14,7 +13,6 @@
  * Guards against a bad release that goes on getting requests, or is completed, because routers that
  * restart count the duration of the roll-out and the answers of the release from zero.
  */
-@Tag("known-red")
 class RollOutForgottenAtRestartTest {
     private static final Duration DURATION = Duration.ofSeconds(16);
     private static final double BAD = 0.5;
--- a/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterControlTest.java
@@ -52,6 +52,8 @@
                                 (order, known, now) -> {}));
         router.start();
         router.onConfiguration(config());
+        router.rollOuts().onAllStatusesRead();
+        router.onAllRouterReportsRead();
     }
 
     @Test
@@ -116,7 +118,7 @@
     void failureOfANewReleaseIsPublishedWithinASecond() {
         router.onStoreAnswered();
         router.onUpstream(upstream());
-        router.onRollOutOrdered(new RollOut("desk", "r1", Duration.ofSeconds(60), 7, 0));
+        router.rollOuts().onOrdered(new RollOut("desk", "r1", Duration.ofSeconds(60), 7, 0));
         time.run(Duration.ofMillis(2100));
         for (int i = 1; i <= 3; i++) {
             int before = published.size();
@@ -130,7 +132,7 @@
     @Test
     void rollOutWithoutNewEvidenceNeedsFewReports() {
         router.onStoreAnswered();
-        router.onRollOutOrdered(new RollOut("desk", "r1", Duration.ofSeconds(60), 7, 0));
+        router.rollOuts().onOrdered(new RollOut("desk", "r1", Duration.ofSeconds(60), 7, 0));
         time.run(Duration.ofSeconds(60));
         assertThat(published).hasSizeBetween(8, 12);
     }
--- a/router/src/test/java/org/wigeonferry/router/VirtualRouter.java
+++ b/router/src/test/java/org/wigeonferry/router/VirtualRouter.java
@@ -9,6 +9,7 @@
 import org.wigeonferry.routing.Admitted;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.RollOut;
+import org.wigeonferry.routing.RollOutStart;
 import org.wigeonferry.routing.RollOutStatus;
 import org.wigeonferry.routing.RoutedRequest;
 import org.wigeonferry.routing.RoutingConfig;
@@ -68,21 +69,30 @@
     }
 
     void readOrder(RollOut order) {
-        router.onRollOutOrdered(
-                new RollOut(
-                        order.service(),
-                        order.release(),
-                        order.duration(),
-                        order.revision(),
-                        control.nanoTime()));
+        router.rollOuts()
+                .onOrdered(
+                        new RollOut(
+                                order.service(),
+                                order.release(),
+                                order.duration(),
+                                order.revision(),
+                                control.nanoTime()));
     }
 
     void readStatus(RollOutStatus status) {
-        router.onRollOutStatus(status);
+        router.rollOuts().onStatus(status);
+    }
+
+    void readStart(RollOutStart start) {
+        router.rollOuts().onStart(start, control.nanoTime());
+    }
+
+    void onAllStatusesRead() {
+        router.rollOuts().onAllStatusesRead();
     }
 
     void readMove(TrafficMove move) {
-        router.onTrafficMove(move);
+        router.rollOuts().onTrafficMove(move);
     }
 
     /** Reads the reports of all routers now and from time to time. */
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
@@ -13,8 +13,8 @@
  * <p>Streams that still run count with their gaps so far: the slow ones of a release end last, and
  * those that end by the deadline were never answered.
  *
- * <p>Invariant: evidence of a router counts only for the order that it was collected under. Owned
- * by the control thread.
+ * <p>Invariants: evidence of a router counts only for the order that it was collected under; it
+ * never shrinks while that order is the newest. Owned by the control thread.
  */
 final class ReleaseEvidenceLog {
     private static final double MILLIONTHS_PER_UNIT = 1_000_000;
@@ -29,6 +29,9 @@
 
     private final Map<String, RollOutEvidence> ownEvidence = new HashMap<>();
 
+    /** What this router had reported before it was restarted, by service. */
+    private Map<String, RollOutEvidence> restoredEvidence = Map.of();
+
     /** The release that is rolled out, by service. */
     private final Map<String, String> newReleases = new HashMap<>();
 
@@ -54,16 +57,25 @@
         ownEvidence.remove(service);
     }
 
-    /** Evidence counted by this router, by service. */
+    /** Sets what this router had reported before it was restarted. */
+    void restoreOwn(Map<String, RollOutEvidence> evidence) {
+        restoredEvidence = Map.copyOf(evidence);
+    }
+
+    /** Evidence counted by this router in all its lives, by service. */
     Map<String, RollOutEvidence> own() {
         Map<String, RollOutEvidence> withRunning = new HashMap<>();
         ownEvidence.keySet().forEach(service -> withRunning.put(service, own(service)));
         return withRunning;
     }
 
-    /** Evidence counted by this router for a service that is being rolled out. */
+    /** Evidence counted by this router in all its lives for a service that is being rolled out. */
     RollOutEvidence own(String service) {
         RollOutEvidence sum = ownEvidence.get(service);
+        RollOutEvidence restored = restoredEvidence.get(service);
+        if (restored != null) {
+            sum = sum.plus(restored);
+        }
         for (Map.Entry<Send, Long> running : runningGapLogs.entrySet()) {
             Send send = running.getKey();
             if (send.upstream().service().equals(service)) {
@@ -74,9 +86,20 @@
         return sum;
     }
 
-    /** Replaces the evidence reported by another router. */
+    /**
+     * Replaces the evidence reported by another router. A report with fewer sends is an older one,
+     * written late.
+     */
     void applyPeer(String router, Map<String, RollOutEvidence> evidence) {
-        evidenceByPeer.put(router, Map.copyOf(evidence));
+        Map<String, RollOutEvidence> known =
+                evidenceByPeer.computeIfAbsent(router, name -> new HashMap<>());
+        evidence.forEach(
+                (service, reported) -> known.merge(service, reported, ReleaseEvidenceLog::later));
+    }
+
+    private static RollOutEvidence later(RollOutEvidence known, RollOutEvidence reported) {
+        boolean older = known.revision() == reported.revision() && reported.sends() < known.sends();
+        return older ? known : reported;
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/RollOut.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOut.java
@@ -10,11 +10,17 @@
  * @param duration time within which the roll-out has to be completed or rolled back
  * @param revision version of the order's row in the store, not a configuration revision; a later
  *     order of the service has a higher one
- * @param startNanos when this process learned of the order, on the monotonic clock
+ * @param startNanos when the roll-out started, on the monotonic clock: as recorded in the store, or
+ *     when this process learned of the order if no record is known
  */
 public record RollOut(
         String service, String release, Duration duration, long revision, long startNanos) {
-    /** Time since the start, for all that this process knows. */
+    /** Returns the same order with another start. */
+    public RollOut startingAt(long nanos) {
+        return new RollOut(service, release, duration, revision, nanos);
+    }
+
+    /** Time since the start. */
     public Duration elapsed(long nowNanos) {
         return Duration.ofNanos(nowNanos - startNanos);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutEvidence.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutEvidence.java
@@ -11,6 +11,11 @@
  * @param old statistics of the old release
  */
 public record RollOutEvidence(long revision, ReleaseEvidence fresh, ReleaseEvidence old) {
+    /** Requests sent to both releases. */
+    public long sends() {
+        return fresh.sends() + old.sends();
+    }
+
     /** Adds the counts of {@code other}, or nothing if they belong to another order. */
     public RollOutEvidence plus(RollOutEvidence other) {
         return other.revision == revision
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -5,15 +5,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
  * Tracks the roll-outs of all services: their orders, states and evidence. Decides which release
  * serves a job and when a roll-out is completed or rolled back.
  *
- * <p>Invariant: a state or a move counts only for the newest order of its service, and {@link
- * #nextState} never leads back to running. Owned by the control thread.
+ * <p>What a roll-out depends on outlives this process: its start, its state and its move stand in
+ * the store, and so does the evidence of each router. Invariants: a start, a state or a move counts
+ * only for the newest order of its service; {@link #nextState} never leads back to running; until
+ * all of it has been read, no request goes to a new release that may still be rolled back. Owned by
+ * the control thread.
  */
 public final class RollOutTracker {
     /**
@@ -36,15 +38,31 @@
     private final SessionPins pins;
     private final ReleaseEvidenceLog evidenceLog = new ReleaseEvidenceLog();
     private final Map<String, RollOut> orders = new HashMap<>();
+    private final Map<String, RollOutStart> starts = new HashMap<>();
     private final Map<String, RollOutStatus> statuses = new HashMap<>();
     private final Map<String, TrafficMove> moves = new HashMap<>();
 
+    private boolean storedRecordRead;
+
     RollOutTracker(RoutingLimits limits) {
         exposureShare = limits.exposureShare();
         pins = new SessionPins(limits.sessionTtl());
     }
 
-    /** Starts a roll-out with empty evidence, unless this order or a newer one is known. */
+    /**
+     * Records that the stored starts, states, moves and evidence of all roll-outs have been read
+     * once.
+     */
+    public void onStoredRecordRead() {
+        storedRecordRead = true;
+    }
+
+    /** Whether {@link #onStoredRecordRead} has been called. */
+    public boolean isStoredRecordRead() {
+        return storedRecordRead;
+    }
+
+    /** Starts a roll-out, unless this order or a newer one is known. */
     public void onRollOutOrdered(RollOut order) {
         RollOut known = orders.get(order.service());
         if (known != null && known.revision() >= order.revision()) {
@@ -52,14 +70,19 @@
         }
         orders.put(order.service(), order);
         evidenceLog.start(order);
-        dropOldEvidence();
+        applyRecordedStart(order.service());
     }
 
     /** Drops the order of a service and its evidence; the status stays. */
     public void onRollOutRemoved(String service) {
         orders.remove(service);
         evidenceLog.remove(service);
-        dropOldEvidence();
+    }
+
+    /** Applies the start of a roll-out that was read from the store. */
+    public void applyStart(RollOutStart start) {
+        starts.put(start.service(), start);
+        applyRecordedStart(start.service());
     }
 
     /** Replaces the status of a service with the one read from the store. */
@@ -98,16 +121,27 @@
                 .map(RollOutStatus::state);
     }
 
-    /** Evidence counted by this router, by service. */
+    /** Evidence counted by this router in all its lives, by service. */
     public Map<String, RollOutEvidence> ownEvidence() {
         return evidenceLog.own();
     }
 
+    /** Adds the evidence that this router reported before it was restarted. */
+    public void restoreOwnEvidence(Map<String, RollOutEvidence> evidence) {
+        evidenceLog.restoreOwn(evidence);
+    }
+
     /** Replaces the evidence reported by another router. */
     public void applyPeerEvidence(String router, Map<String, RollOutEvidence> evidence) {
         evidenceLog.applyPeer(router, evidence);
     }
 
+    /** Drops the evidence of orders that are no longer the newest of their service. */
+    public void dropOldEvidence() {
+        evidenceLog.retainOrders(
+                orders.values().stream().map(RollOut::revision).collect(Collectors.toSet()));
+    }
+
     /** Evidence of a known order, summed over this router and the others. */
     public RollOutEvidence totalEvidence(RollOut order) {
         return evidenceLog.total(order);
@@ -120,7 +154,15 @@
                 && TrafficMoveSchedule.mayStart(order, totalEvidence(order), nowNanos);
     }
 
-    /** The state to write for an order now; empty if the stored one stays. */
+    /** Whether the evidence shows that an order's release is bad. */
+    public boolean isShownBad(RollOut order) {
+        return RollOutCriteria.mustRollBack(totalEvidence(order));
+    }
+
+    /**
+     * The state to write for an order now; empty if the stored one stays. A release that is not
+     * shown to be good when the time is up is rolled back.
+     */
     public Optional<RollOutState> nextState(RollOut order, long nowNanos) {
         Optional<RollOutState> state = state(order);
         if (state.isPresent() && state.get() != RollOutState.RUNNING) {
@@ -137,6 +179,9 @@
         if (moved && TrafficMoveSchedule.isGood(total)) {
             return Optional.of(RollOutState.COMPLETED);
         }
+        if (TrafficMoveSchedule.isTimeUp(order, nowNanos)) {
+            return Optional.of(RollOutState.ROLLED_BACK);
+        }
         return state.isEmpty() ? Optional.of(RollOutState.RUNNING) : Optional.empty();
     }
 
@@ -157,8 +202,9 @@
         if (state.equals(Optional.of(RollOutState.COMPLETED))) {
             return List.of(onlyNew, onlyOld);
         }
-        if (state.equals(Optional.of(RollOutState.ROLLED_BACK))
-                || RollOutCriteria.mustRollBack(totalEvidence(order))) {
+        if (!storedRecordRead
+                || state.equals(Optional.of(RollOutState.ROLLED_BACK))
+                || isShownBad(order)) {
             return List.of(onlyOld);
         }
         Optional<TrafficMove> move = moveOf(order);
@@ -217,10 +263,12 @@
         return move(order.service()).filter(move -> move.orderRevision() == order.revision());
     }
 
-    private void dropOldEvidence() {
-        Set<Long> revisions =
-                orders.values().stream().map(RollOut::revision).collect(Collectors.toSet());
-        evidenceLog.retainOrders(revisions);
+    private void applyRecordedStart(String service) {
+        RollOut order = orders.get(service);
+        RollOutStart start = starts.get(service);
+        if (order != null && start != null && start.orderRevision() == order.revision()) {
+            orders.put(service, order.startingAt(start.startNanos()));
+        }
     }
 
     /** Selects by hash, so that all routers that a session may reach agree. */
@@ -239,11 +287,11 @@
             return false;
         }
         RollOutEvidence evidence = evidenceLog.own(order.service());
-        long allSends = evidence.fresh().sends() + evidence.old().sends();
-        return evidence.fresh().sends() < exposureShare * allSends + EXTRA_NEW_RELEASE_SENDS;
+        return evidence.fresh().sends()
+                < exposureShare * evidence.sends() + EXTRA_NEW_RELEASE_SENDS;
     }
 
     private static double elapsedFraction(RollOut order, long nowNanos) {
-        return (double) (nowNanos - order.startNanos()) / order.duration().toNanos();
+        return (double) order.elapsed(nowNanos).toNanos() / order.duration().toNanos();
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
@@ -27,6 +27,12 @@
     /** Fraction of the duration at which a good release is completed, moved or not. */
     private static final double LATEST_COMPLETION = 0.92;
 
+    /**
+     * Fraction of the duration at which a release that was not completed is rolled back, so that
+     * the state is stored before the duration is over.
+     */
+    private static final double LATEST_ROLL_BACK = 0.95;
+
     /** Successful answers needed to start the move. */
     private static final int MIN_GOOD_ANSWERS = 12;
 
@@ -64,6 +70,11 @@
         return fraction(order, order.startNanos(), nowNanos) >= LATEST_COMPLETION;
     }
 
+    /** Whether a roll-out that has not been completed has to be rolled back. */
+    static boolean isTimeUp(RollOut order, long nowNanos) {
+        return fraction(order, order.startNanos(), nowNanos) >= LATEST_ROLL_BACK;
+    }
+
     /** Whether the evidence of a roll-out suffices to complete it. */
     static boolean isGood(RollOutEvidence evidence) {
         return RollOutCriteria.mayComplete(evidence, MIN_GOOD_ANSWERS_LATE);
--- a/routing/src/test/java/org/wigeonferry/routing/Fixtures.java
+++ b/routing/src/test/java/org/wigeonferry/routing/Fixtures.java
@@ -41,6 +41,7 @@
                         () -> 0.5,
                         new LiveRouters("own", Set.of(), 1));
         state.updateConfig(config);
+        state.rollOuts().onStoredRecordRead();
         confirmConfig(state, nowNanos);
         return state;
     }
--- a/routing/src/test/java/org/wigeonferry/routing/RollOutTrackerTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RollOutTrackerTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class RollOutTrackerTest {
@@ -22,12 +23,16 @@
     /** A router that learns of the order at a time. */
     private static RoutingState routerWithRollOut(long nowNanos) {
         RoutingState state = Fixtures.state(Fixtures.config(1), nowNanos);
+        putUpstreams(state, nowNanos);
+        state.rollOuts().onRollOutOrdered(new RollOut("model", "v2", DURATION, 5, nowNanos));
+        return state;
+    }
+
+    private static void putUpstreams(RoutingState state, long nowNanos) {
         for (int i = 0; i < 3; i++) {
             state.upstreams().put(Fixtures.upstream("o" + i, "model", "v1", 0), nowNanos);
             state.upstreams().put(Fixtures.upstream("n" + i, "model", "v2", 0), nowNanos);
         }
-        state.rollOuts().onRollOutOrdered(new RollOut("model", "v2", DURATION, 5, nowNanos));
-        return state;
     }
 
     /** Admits, places and answers one request of a session. */
@@ -238,6 +243,65 @@
         assertThat(sendAndAnswer(state, "s", atFraction(0.7)).upstream().release()).isEqualTo("v1");
     }
 
+    /** The record may say that the release is known to be bad, or that its time is nearly up. */
+    @Test
+    void newReleaseGetsNothingBeforeTheStoredRecordIsRead() {
+        RoutingState restarted =
+                new RoutingState(
+                        Fixtures.ZONE,
+                        Fixtures.LIMITS,
+                        new Freshness(Duration.ofSeconds(4), Duration.ofMillis(400)),
+                        new ModelCascade(50),
+                        () -> 0.5,
+                        new LiveRouters("own", Set.of(), 1));
+        restarted.updateConfig(Fixtures.config(1));
+        putUpstreams(restarted, START_NANOS);
+        restarted.rollOuts().onRollOutOrdered(new RollOut("model", "v2", DURATION, 5, START_NANOS));
+        for (int i = 0; i < 200; i++) {
+            assertThat(sendAndAnswer(restarted, "s" + i, atFraction(0.7)).upstream().release())
+                    .isEqualTo("v1");
+        }
+    }
+
+    @Test
+    void recordedStartCountsWhicheverIsReadFirst() {
+        RollOutStart start = new RollOutStart("model", 5, START_NANOS - DURATION.toNanos() / 2);
+        state.rollOuts().applyStart(start);
+        assertThat(state.rollOuts().orders().get(0).startNanos()).isEqualTo(start.startNanos());
+        RollOutTracker tracker = new RollOutTracker(Fixtures.LIMITS);
+        tracker.applyStart(start);
+        tracker.onRollOutOrdered(new RollOut("model", "v2", DURATION, 5, START_NANOS));
+        assertThat(tracker.orders().get(0).startNanos()).isEqualTo(start.startNanos());
+        tracker.onRollOutOrdered(new RollOut("model", "v3", DURATION, 9, START_NANOS));
+        assertThat(tracker.orders().get(0).startNanos()).isEqualTo(START_NANOS);
+    }
+
+    /** A write without an answer may be done seconds later, after the next one. */
+    @Test
+    void lateReportWithFewerSendsDoesNotShrinkTheEvidence() {
+        RollOut order = state.rollOuts().orders().get(0);
+        ReleaseEvidence early = new ReleaseEvidence(4, 2, 1, 0, 0, 0, 0);
+        ReleaseEvidence late = new ReleaseEvidence(9, 4, 3, 0, 0, 0, 0);
+        for (ReleaseEvidence evidence : List.of(late, early)) {
+            RollOutEvidence both = new RollOutEvidence(5, evidence, ReleaseEvidence.NONE);
+            state.rollOuts().applyPeerEvidence("peer", Map.of("model", both));
+        }
+        assertThat(state.rollOuts().totalEvidence(order).fresh().bad()).isEqualTo(3);
+    }
+
+    @Test
+    void restoredEvidenceCountsForItsOrderOnly() {
+        RollOut order = state.rollOuts().orders().get(0);
+        ReleaseEvidence bad = new ReleaseEvidence(9, 4, 3, 0, 0, 0, 0);
+        state.rollOuts()
+                .restoreOwnEvidence(
+                        Map.of("model", new RollOutEvidence(5, bad, ReleaseEvidence.NONE)));
+        assertThat(state.rollOuts().ownEvidence().get("model").fresh()).isEqualTo(bad);
+        assertThat(state.rollOuts().totalEvidence(order).fresh()).isEqualTo(bad);
+        state.rollOuts().onRollOutOrdered(new RollOut("model", "v3", DURATION, 9, START_NANOS));
+        assertThat(state.rollOuts().ownEvidence().get("model").fresh().bad()).isZero();
+    }
+
     @Test
     void moveOfAnEarlierOrderIsIgnored() {
         RollOut order = state.rollOuts().orders().get(0);
--- a/routing/src/test/java/org/wigeonferry/routing/SlowReleaseTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SlowReleaseTest.java
@@ -90,12 +90,17 @@
                             Optional.empty());
             tracker.onSendEnd(report, job(), IDLE, send.startNanos());
         }
-        assertThat(nextState()).isEmpty();
+        assertThat(nextState(Duration.ofMillis(18_500))).isEmpty();
+        assertThat(nextState()).contains(RollOutState.ROLLED_BACK);
     }
 
     /** The state decided at the end of the roll-out, when a good release must be completed. */
     private Optional<RollOutState> nextState() {
-        return tracker.nextState(ORDER, START_NANOS + 19 * Fixtures.NANOS_PER_SECOND);
+        return nextState(Duration.ofSeconds(19));
+    }
+
+    private Optional<RollOutState> nextState(Duration elapsed) {
+        return tracker.nextState(ORDER, START_NANOS + elapsed.toNanos());
     }
 
     private void answerOnOldRelease(int count) {
