Leave upstreams that send framing without end; cut heads at each byte in a test

Bytes without end: thirteen places of an answer flooded. Class of fault: a limit on what is kept, none on what is read. The agent's connections to engines are not bounded so.

--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
@@ -1,10 +1,12 @@
 package org.wigeonferry.node_runtime;
 
 import java.time.Duration;
+import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http2.client.HTTP2Client;
 import org.eclipse.jetty.http2.client.transport.HttpClientTransportOverHTTP2;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.wigeonferry.core_types.StepException;
 
@@ -38,6 +40,16 @@
         return start(new HttpClient(new HttpClientTransportOverHTTP2(http2)), name, connectTimeout);
     }
 
+    /**
+     * Bounds what the peer of an HTTP/1.1 connection may send besides content.
+     *
+     * @return the limit, which has to be told of the content
+     */
+    public static OverheadLimit limitOverhead(Connection connection) {
+        EndPoint endPoint = ((org.eclipse.jetty.io.Connection) connection).getEndPoint();
+        return ((ResetDetectingEndPoint) endPoint).limitOverhead();
+    }
+
     private static HttpClient start(HttpClient client, String name, Duration connectTimeout)
             throws StepException {
         QueuedThreadPool threads =
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetDetectingEndPoint.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetDetectingEndPoint.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Optional;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -13,9 +14,12 @@
  * A connection on which a TCP reset is a failure.
  *
  * <p>Jetty's own class treats a reset as the end of the stream, so a truncated answer whose end is
- * marked by the end of its connection would be taken for complete. Thread safe.
+ * marked by the end of its connection would be taken for complete. The bytes that are not content
+ * can be limited. Thread safe.
  */
 final class ResetDetectingEndPoint extends SocketChannelEndPoint {
+    private volatile Optional<OverheadLimit> overheadLimit = Optional.empty();
+
     ResetDetectingEndPoint(
             SocketChannel channel,
             ManagedSelector selector,
@@ -34,6 +38,7 @@
             int filled = ((SocketChannel) getChannel()).read(buffer);
             if (filled > 0) {
                 notIdle();
+                recordOverhead(filled);
             } else if (filled < 0) {
                 shutdownInput();
             }
@@ -42,4 +47,18 @@
             BufferUtil.flipToFlush(buffer, position);
         }
     }
+
+    /** From now on, limits the bytes that are not reported as content. */
+    OverheadLimit limitOverhead() {
+        OverheadLimit limit = new OverheadLimit();
+        overheadLimit = Optional.of(limit);
+        return limit;
+    }
+
+    private void recordOverhead(int bytes) throws IOException {
+        Optional<OverheadLimit> limit = overheadLimit;
+        if (limit.isPresent()) {
+            limit.get().onRead(bytes);
+        }
+    }
 }
--- a/router/src/main/java/org/wigeonferry/router/JettySender.java
+++ b/router/src/main/java/org/wigeonferry/router/JettySender.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.util.Promise;
 import org.wigeonferry.core_types.StepException;
 import org.wigeonferry.node_runtime.HttpClients;
+import org.wigeonferry.node_runtime.OverheadLimit;
 
 /**
  * Opens a new connection for each request.
@@ -61,9 +62,14 @@
                     new IllegalStateException("send cancelled before the connection was open"));
             return;
         }
+        OverheadLimit overheadLimit = HttpClients.limitOverhead(connection);
         request.onRequestBegin(begun -> callbacks.onRequestBegin())
                 .onResponseHeaders(callbacks::onHeaders)
-                .onResponseContentAsync(callbacks::onContent);
+                .onResponseContentAsync(
+                        (response, chunk, demander) -> {
+                            overheadLimit.onContent(chunk.remaining());
+                            callbacks.onContent(response, chunk, demander);
+                        });
         connection.send(
                 request,
                 result -> {
--- a/router/src/test/java/org/wigeonferry/router/HalfAnswerTest.java
+++ b/router/src/test/java/org/wigeonferry/router/HalfAnswerTest.java
@@ -19,6 +19,8 @@
     private static final String CHUNKED =
             HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nans\r\n3\r\nwer\r\n0\r\n\r\n";
     private static final String TO_THE_END = HEAD + "\r\nanswer";
+    private static final String STREAM =
+            HEAD + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n";
 
     /** Answers with one more byte of the text at each request, and then closes or resets. */
     private static UpstreamScript growing(String text, boolean reset, AtomicInteger length) {
@@ -69,6 +71,25 @@
         assertNoCutIsASuccess(TO_THE_END, TO_THE_END.length(), true);
     }
 
+    /** Without a length, the end of the connection would also be the end of an empty answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/unsafe/x", "/safe/x", "/stream/x"})
+    void answerThatEndsWithinItsHeadIsNoSuccess(String path) throws Exception {
+        AtomicInteger length = new AtomicInteger();
+        for (String text : List.of(TO_THE_END, CHUNKED, WITH_LENGTH, STREAM)) {
+            try (ScriptedUpstream upstream = new ScriptedUpstream(growing(text, false, length));
+                    RouterHarness harness = new RouterHarness(List.of(upstream))) {
+                int headLength = text.indexOf("\r\n\r\n") + 4;
+                for (int i = 0; i < headLength; i++) {
+                    length.set(i);
+                    assertThat(harness.exchange("POST", path, "body"))
+                            .as("%s, cut after %d bytes of %s", path, i, text)
+                            .doesNotStartWith("HTTP/1.1 200");
+                }
+            }
+        }
+    }
+
     /** A second copy that comes late finds its connection closed, not another caller's. */
     @Test
     void lateSecondCopyReachesNobody() throws Exception {
