Let a planned stop answer what it has taken

Class of fault: a request counted as ended before its caller has the end.

Change: InFlightRequests counts a request from its head until its connection has taken the last byte of the response, refusals included. 0.4 s before the end of the stop what is under way is answered 502, or 503 where it has not run. A request whose body arrives after requests are refused is refused too. Sends ended so count as abandoned, not as failures of their upstream or its release.

--- a/router/src/main/java/org/wigeonferry/router/CallContext.java
+++ b/router/src/main/java/org/wigeonferry/router/CallContext.java
@@ -1,7 +1,6 @@
 package org.wigeonferry.router;
 
 import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.wigeonferry.node_runtime.ControlExecutor;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.routing.RoutingState;
@@ -14,7 +13,7 @@
  *
  * @param trafficExecutor runs the tasks that read requests and write responses
  * @param responseBudget bounds the memory of responses that are not complete
- * @param inFlight number of calls without a final response
+ * @param inFlight the requests whose responses are not complete
  */
 record CallContext(
         ControlExecutor control,
@@ -25,4 +24,4 @@
         Refusals refusals,
         NodeMetrics metrics,
         ResponseBudget responseBudget,
-        AtomicInteger inFlight) {}
+        InFlightRequests inFlight) {}
--- a/router/src/main/java/org/wigeonferry/router/CallerRequestHandler.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerRequestHandler.java
@@ -55,7 +55,8 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        CallerResponse callerResponse = new CallerResponse(response, callback);
+        CallerResponse callerResponse =
+                new CallerResponse(response, context.inFlight().track(callback));
         Optional<RoutedRequest> decoded = context.protocol().requestDecoder().decode(request);
         if (decoded.isEmpty()) {
             refuse(callerResponse, "", RefusalCause.MALFORMED, ConfigurationVersion.NOT_CONSULTED);
@@ -72,7 +73,6 @@
                     ConfigurationVersion.NOT_CONSULTED);
             return true;
         }
-        context.inFlight().incrementAndGet();
         context.control().execute(() -> admit(request, decoded.get(), callerResponse));
         return true;
     }
@@ -85,7 +85,7 @@
             context.trafficExecutor()
                     .execute(
                             () ->
-                                    refuseInFlight(
+                                    refuse(
                                             callerResponse,
                                             routed.id(),
                                             refused.cause(),
@@ -111,18 +111,25 @@
             ConfigurationVersion configuration,
             CallerResponse callerResponse) {
         if (request.getLength() > limit) {
-            refuseInFlight(
-                    callerResponse, job.request().id(), RefusalCause.BODY_TOO_LONG, configuration);
+            refuse(callerResponse, job.request().id(), RefusalCause.BODY_TOO_LONG, configuration);
             return;
         }
         RequestBodies.read(request, limit)
                 .whenComplete(
                         (body, failure) -> {
                             if (failure != null) {
-                                context.inFlight().decrementAndGet();
                                 callerResponse.abort(failure);
                                 return;
                             }
+                            // A body may take long to arrive.
+                            if (refusing) {
+                                refuse(
+                                        callerResponse,
+                                        job.request().id(),
+                                        RefusalCause.STOPPING,
+                                        configuration);
+                                return;
+                            }
                             String account = job.account().map(Account::name).orElse("");
                             CallerRequest caller = new CallerRequest(request, body, account);
                             RoutedCall call = new RoutedCall(context, job, caller, callerResponse);
@@ -130,15 +137,6 @@
                         });
     }
 
-    private void refuseInFlight(
-            CallerResponse callerResponse,
-            String id,
-            RefusalCause cause,
-            ConfigurationVersion configuration) {
-        context.inFlight().decrementAndGet();
-        refuse(callerResponse, id, cause, configuration);
-    }
-
     private void refuse(
             CallerResponse callerResponse,
             String id,
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -49,6 +49,7 @@
 
     /** Starts the deadline timer and the first send. Called on the control thread. */
     void start() {
+        context.inFlight().add(this);
         long timeLeftNanos = job.deadlineNanos() - context.control().nanoTime();
         cancelDeadlineTimer =
                 context.control()
@@ -229,9 +230,7 @@
             serverError = lastServerError;
         }
         if (streamStarted) {
-            log.logStreamAborted(cause, callerResponse.streamFraming());
-            callerResponse.abort(
-                    new IOException("stream aborted, no further send possible: " + cause));
+            abortStream(cause);
             return;
         }
         if (serverError.isPresent()) {
@@ -245,10 +244,17 @@
     private void onDeadline() {
         RefusalCause cause =
                 job.possibleRuns() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE;
-        context.trafficExecutor().execute(() -> failOnDeadline(cause));
+        context.trafficExecutor().execute(() -> end(cause, SendOutcome.SILENT));
     }
 
-    private void failOnDeadline(RefusalCause cause) {
+    /** Responds now, as the process is about to stop. Called on the control thread. */
+    void endBeforeStop() {
+        RefusalCause cause =
+                job.possibleRuns() > 0 ? RefusalCause.OUTCOME_UNKNOWN : RefusalCause.STOPPING;
+        context.trafficExecutor().execute(() -> end(cause, SendOutcome.ABANDONED));
+    }
+
+    private void end(RefusalCause cause, SendOutcome openSendOutcome) {
         Optional<RoutedSend> openSend;
         boolean streamStarted;
         synchronized (this) {
@@ -258,16 +264,20 @@
             openSend = currentSend;
             streamStarted = streaming;
         }
-        openSend.ifPresent(routedSend -> routedSend.cancel(SendOutcome.SILENT));
+        openSend.ifPresent(routedSend -> routedSend.cancel(openSendOutcome));
         if (streamStarted) {
-            log.logStreamAborted(RefusalCause.TIMED_OUT, callerResponse.streamFraming());
-            callerResponse.abort(new IOException("stream aborted: request deadline exceeded"));
+            abortStream(cause);
             return;
         }
         log.logRefused(cause);
         context.refusals().sendRefusal(callerResponse, new Refused(cause));
     }
 
+    private void abortStream(RefusalCause cause) {
+        log.logStreamAborted(cause, callerResponse.streamFraming());
+        callerResponse.abort(new IOException("stream aborted: " + cause));
+    }
+
     private void onCallerDisconnected() {
         Optional<RoutedSend> openSend;
         synchronized (this) {
@@ -291,7 +301,7 @@
         }
         cancelDeadlineTimer.run();
         caller.clearDisconnectAction();
-        context.inFlight().decrementAndGet();
+        context.inFlight().remove(this);
         return true;
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterServer.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterServer.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -45,13 +44,16 @@
      */
     private static final Duration MIN_DRAIN_TIME = Duration.ofMillis(3500);
 
+    /** Time before the end of a stop in which requests that are under way get their responses. */
+    private static final Duration RESPONSE_TIME = Duration.ofMillis(400);
+
     private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
     private static final int MAX_CALLER_THREADS = 16;
     private static final int MIN_CALLER_THREADS = 4;
 
     private final ControlExecutor control;
     private final RouterControl routerControl;
-    private final AtomicInteger inFlight = new AtomicInteger();
+    private final InFlightRequests inFlight = new InFlightRequests();
     private final CallerRequestHandler handler;
     private final Server callerServer;
     private final Server readinessServer;
@@ -86,7 +88,7 @@
                                 metrics,
                                 responseBudget,
                                 inFlight));
-        metrics.registerGauge("in_flight", inFlight::get);
+        metrics.registerGauge("in_flight", inFlight::count);
         metrics.registerGauge("response_bytes_reserved", responseBudget::reservedBytes);
         callerServer = start(threads, addresses.callers(), handler);
         readinessServer =
@@ -98,12 +100,13 @@
 
     @Override
     public void drain(Duration deadline) {
-        LOG.atInfo().addKeyValue("in_flight", inFlight.get()).log("stopping");
+        LOG.atInfo().addKeyValue("in_flight", inFlight.count()).log("stopping");
         stopping = true;
         handler.onStopping();
         CompletableFuture<Void> drained = new CompletableFuture<>();
         long startNanos = control.nanoTime();
         completeWhenDrained(startNanos, deadline, drained);
+        control.schedule(deadline.minus(RESPONSE_TIME), inFlight::endCalls);
         drained.join();
     }
 
@@ -115,13 +118,13 @@
         } catch (Exception e) {
             LOG.warn("servers did not stop cleanly", e);
         }
-        LOG.atInfo().addKeyValue("in_flight", inFlight.get()).log("stopped");
+        LOG.atInfo().addKeyValue("in_flight", inFlight.count()).log("stopped");
     }
 
     private void completeWhenDrained(
             long startNanos, Duration deadline, CompletableFuture<Void> drained) {
         long elapsedNanos = control.nanoTime() - startNanos;
-        boolean idle = inFlight.get() == 0 && elapsedNanos >= MIN_DRAIN_TIME.toNanos();
+        boolean idle = inFlight.count() == 0 && elapsedNanos >= MIN_DRAIN_TIME.toNanos();
         if (idle || elapsedNanos >= deadline.toNanos()) {
             drained.complete(null);
             return;
