--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -192,7 +192,7 @@
     List<UpstreamRule> upstreamRules(Job job, long nowNanos) {
         RollOut order = orders.get(job.service());
         if (order == null) {
-            return List.of((upstream, j, t) -> true);
+            return rulesWithoutOrder(job.service());
         }
         String newRelease = order.release();
         UpstreamRule onlyNew = (upstream, j, t) -> upstream.instance().release().equals(newRelease);
@@ -224,6 +224,22 @@
         return mayMove || pinned.isEmpty() ? List.of(onlyOld, onlyNew) : List.of(onlyOld);
     }
 
+    /**
+     * The upstreams of a release that was rolled back may still be there when its order is gone.
+     */
+    private List<UpstreamRule> rulesWithoutOrder(String service) {
+        UpstreamRule any = (upstream, j, t) -> true;
+        Optional<String> rolledBack =
+                status(service)
+                        .filter(status -> status.state() == RollOutState.ROLLED_BACK)
+                        .map(RollOutStatus::release);
+        if (rolledBack.isEmpty()) {
+            return List.of(any);
+        }
+        String badRelease = rolledBack.get();
+        return List.of((upstream, j, t) -> !upstream.instance().release().equals(badRelease), any);
+    }
+
     void onSend(Send send, Job job, long nowNanos) {
         recordSession(send, job, nowNanos);
         evidenceLog.onSend(send, orderOf(send));
--- a/routing/src/test/java/org/wigeonferry/routing/RollOutTrackerTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RollOutTrackerTest.java
@@ -302,6 +302,18 @@
         assertThat(state.rollOuts().ownEvidence().get("model").fresh().bad()).isZero();
     }
 
+    /** Its upstreams stay for some seconds. */
+    @Test
+    void releaseThatWasRolledBackGetsNothingWhenItsOrderIsRemoved() {
+        RollOutStatus rolledBack = new RollOutStatus("model", "v2", RollOutState.ROLLED_BACK, 6);
+        state.rollOuts().applyStatus(rolledBack);
+        state.rollOuts().onRollOutRemoved("model");
+        for (int i = 0; i < 200; i++) {
+            assertThat(sendAndAnswer(state, "s" + i, START_NANOS).upstream().release())
+                    .isEqualTo("v1");
+        }
+    }
+
     @Test
     void moveOfAnEarlierOrderIsIgnored() {
         RollOut order = state.rollOuts().orders().get(0);
