Split what the store holds of roll-outs, and the records of sends, into types of their own

RollOutRecord holds orders, starts, states and moves as read from the store; SendRecorder hands what a send came to over to the control thread.

--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
-import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.PlacementResult;
 import org.wigeonferry.routing.RefusalCause;
@@ -31,6 +30,7 @@
     private final CallerRequest caller;
     private final CallerResponse callerResponse;
     private final CallLog log;
+    private final SendRecorder recorder;
     private final AtomicBoolean finished = new AtomicBoolean();
     private Optional<RoutedSend> currentSend = Optional.empty();
     private Optional<CompleteResponse> lastServerError = Optional.empty();
@@ -44,6 +44,7 @@
         this.caller = caller;
         this.callerResponse = callerResponse;
         log = new CallLog(context.metrics(), job, context.control().nanoTime());
+        recorder = new SendRecorder(context, job, caller.requestDigest(), log);
         lastEventId = job.request().resumeAfter();
     }
 
@@ -83,23 +84,9 @@
         callerResponse.writeEvents(events);
     }
 
-    /** Records what an upstream says of itself, before anything else is placed. */
+    /** Records what an upstream says of itself. */
     void onAnnouncement(Send send, UpstreamAnnouncement announcement) {
-        if (announcement.equals(UpstreamAnnouncement.NONE)) {
-            return;
-        }
-        context.control()
-                .execute(
-                        () -> {
-                            Incarnation upstream = send.upstream().incarnation();
-                            long now = context.control().nanoTime();
-                            if (context.state()
-                                    .upstreams()
-                                    .notices()
-                                    .record(upstream, announcement, now)) {
-                                log.logAnnouncement(send, announcement);
-                            }
-                        });
+        recorder.recordAnnouncement(send, announcement);
     }
 
     /** Records the end of a send; then responds to the caller, or resends where that is allowed. */
@@ -110,22 +97,11 @@
                 routedSend.responseHead(),
                 routedSend.responseFraming(),
                 routedSend.connectionFailure());
-        context.control()
-                .execute(
-                        () -> {
-                            boolean poisonDetected =
-                                    context.state()
-                                            .onSendEnd(
-                                                    job,
-                                                    caller.requestDigest(),
-                                                    report,
-                                                    context.control().nanoTime());
-                            if (poisonDetected) {
-                                log.logPoisonDetected();
-                            }
-                            context.trafficExecutor()
-                                    .execute(() -> resendOrFinish(routedSend, report, response));
-                        });
+        recorder.recordEnd(
+                report,
+                () ->
+                        context.trafficExecutor()
+                                .execute(() -> resendOrFinish(routedSend, report, response)));
     }
 
     private void resendOrFinish(
@@ -182,7 +158,7 @@
         RoutedSend routedSend = new RoutedSend(context, this, send);
         synchronized (this) {
             if (finished.get()) {
-                reportSendAsNotSent(routedSend);
+                recorder.recordEnd(routedSend.toReport(SendOutcome.NOT_SENT), () -> {});
                 return;
             }
             currentSend = Optional.of(routedSend);
@@ -205,19 +181,6 @@
         return streaming ? lastEventId : Optional.empty();
     }
 
-    private void reportSendAsNotSent(RoutedSend routedSend) {
-        SendReport report = routedSend.toReport(SendOutcome.NOT_SENT);
-        context.control()
-                .execute(
-                        () ->
-                                context.state()
-                                        .onSendEnd(
-                                                job,
-                                                caller.requestDigest(),
-                                                report,
-                                                context.control().nanoTime()));
-    }
-
     private void giveUp(Refused refused) {
         RefusalCause cause = refused.cause();
         boolean streamStarted;
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -1,7 +1,6 @@
 package org.wigeonferry.routing;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,11 +36,7 @@
     private final double exposureShare;
     private final SessionPins pins;
     private final ReleaseEvidenceLog evidenceLog = new ReleaseEvidenceLog();
-    private final Map<String, RollOut> orders = new HashMap<>();
-    private final Map<String, RollOutStart> starts = new HashMap<>();
-    private final Map<String, RollOutStatus> statuses = new HashMap<>();
-    private final Map<String, TrafficMove> moves = new HashMap<>();
-
+    private final RollOutRecord record = new RollOutRecord();
     private boolean storedRecordRead;
 
     RollOutTracker(RoutingLimits limits) {
@@ -64,61 +59,50 @@
 
     /** Starts a roll-out, unless this order or a newer one is known. */
     public void onRollOutOrdered(RollOut order) {
-        RollOut known = orders.get(order.service());
-        if (known != null && known.revision() >= order.revision()) {
-            return;
+        if (record.applyOrder(order)) {
+            evidenceLog.start(order);
         }
-        orders.put(order.service(), order);
-        evidenceLog.start(order);
-        applyRecordedStart(order.service());
     }
 
     /** Drops the order of a service and its evidence; the status stays. */
     public void onRollOutRemoved(String service) {
-        orders.remove(service);
+        record.removeOrder(service);
         evidenceLog.remove(service);
     }
 
     /** Applies the start of a roll-out that was read from the store. */
     public void applyStart(RollOutStart start) {
-        starts.put(start.service(), start);
-        applyRecordedStart(start.service());
+        record.applyStart(start);
     }
 
     /** Replaces the status of a service with the one read from the store. */
     public void applyStatus(RollOutStatus status) {
-        statuses.put(status.service(), status);
+        record.applyStatus(status);
     }
 
     /** Starts the move of a service's traffic; the first start of an order's move counts. */
     public void applyMove(TrafficMove move) {
-        TrafficMove known = moves.get(move.service());
-        if (known == null || known.orderRevision() != move.orderRevision()) {
-            moves.put(move.service(), move);
-        }
+        record.applyMove(move);
     }
 
     /** The newest order of each service. */
     public List<RollOut> orders() {
-        return List.copyOf(orders.values());
+        return record.orders();
     }
 
     /** The last known status of a service, possibly of an earlier order. */
     public Optional<RollOutStatus> status(String service) {
-        return Optional.ofNullable(statuses.get(service));
+        return record.status(service);
     }
 
     /** The last known move of a service's traffic, possibly of an earlier order. */
     public Optional<TrafficMove> move(String service) {
-        return Optional.ofNullable(moves.get(service));
+        return record.move(service);
     }
 
     /** The state of an order; empty if none has been read from the store. */
     public Optional<RollOutState> state(RollOut order) {
-        return status(order.service())
-                .filter(status -> status.release().equals(order.release()))
-                .filter(status -> status.revision() > order.revision())
-                .map(RollOutStatus::state);
+        return record.state(order);
     }
 
     /** Evidence counted by this router in all its lives, by service. */
@@ -139,7 +123,7 @@
     /** Drops the evidence of orders that are no longer the newest of their service. */
     public void dropOldEvidence() {
         evidenceLog.retainOrders(
-                orders.values().stream().map(RollOut::revision).collect(Collectors.toSet()));
+                record.orders().stream().map(RollOut::revision).collect(Collectors.toSet()));
     }
 
     /** Evidence of a known order, summed over this router and the others. */
@@ -150,7 +134,7 @@
     /** Whether the move of a service's traffic to an order's release should start now. */
     public boolean shouldStartMove(RollOut order, long nowNanos) {
         return state(order).equals(Optional.of(RollOutState.RUNNING))
-                && moveOf(order).isEmpty()
+                && record.moveOf(order).isEmpty()
                 && TrafficMoveSchedule.mayStart(order, totalEvidence(order), nowNanos);
     }
 
@@ -173,7 +157,7 @@
             return Optional.of(RollOutState.ROLLED_BACK);
         }
         boolean moved =
-                moveOf(order)
+                record.moveOf(order)
                         .map(move -> TrafficMoveSchedule.isDone(order, move, nowNanos))
                         .orElse(TrafficMoveSchedule.isLastChance(order, nowNanos));
         if (moved && TrafficMoveSchedule.isGood(total)) {
@@ -190,10 +174,11 @@
      * an earlier one.
      */
     List<UpstreamRule> upstreamRules(Job job, long nowNanos) {
-        RollOut order = orders.get(job.service());
-        if (order == null) {
+        Optional<RollOut> newest = record.order(job.service());
+        if (newest.isEmpty()) {
             return rulesWithoutOrder(job.service());
         }
+        RollOut order = newest.get();
         String newRelease = order.release();
         UpstreamRule onlyNew = (upstream, j, t) -> upstream.instance().release().equals(newRelease);
         UpstreamRule onlyOld =
@@ -207,7 +192,7 @@
                 || isShownBad(order)) {
             return List.of(onlyOld);
         }
-        Optional<TrafficMove> move = moveOf(order);
+        Optional<TrafficMove> move = record.moveOf(order);
         if (move.isEmpty() && !mayExposeMore(order, nowNanos)) {
             return List.of(onlyOld);
         }
@@ -229,10 +214,7 @@
      */
     private List<UpstreamRule> rulesWithoutOrder(String service) {
         UpstreamRule any = (upstream, j, t) -> true;
-        Optional<String> rolledBack =
-                status(service)
-                        .filter(status -> status.state() == RollOutState.ROLLED_BACK)
-                        .map(RollOutStatus::release);
+        Optional<String> rolledBack = record.rolledBackRelease(service);
         if (rolledBack.isEmpty()) {
             return List.of(any);
         }
@@ -272,19 +254,7 @@
     }
 
     private Optional<RollOut> orderOf(Send send) {
-        return Optional.ofNullable(orders.get(send.upstream().service()));
-    }
-
-    private Optional<TrafficMove> moveOf(RollOut order) {
-        return move(order.service()).filter(move -> move.orderRevision() == order.revision());
-    }
-
-    private void applyRecordedStart(String service) {
-        RollOut order = orders.get(service);
-        RollOutStart start = starts.get(service);
-        if (order != null && start != null && start.orderRevision() == order.revision()) {
-            orders.put(service, order.startingAt(start.startNanos()));
-        }
+        return record.order(send.upstream().service());
     }
 
     /** Selects by hash, so that all routers that a session may reach agree. */
