Keep no cookies in the HTTP clients

Cause: the Jetty client keeps cookies unless it is given an empty store, and adds them to the later requests of all callers. One place builds the clients, so none does now.

--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http2.client.HTTP2Client;
 import org.eclipse.jetty.http2.client.transport.HttpClientTransportOverHTTP2;
 import org.eclipse.jetty.io.EndPoint;
@@ -14,7 +15,8 @@
  * Starts HTTP clients that send every request once.
  *
  * <p>They follow no redirects and answer no authentication challenges, because either would send
- * again a request that may not be repeated. Stateless and thread safe.
+ * again a request that may not be repeated. They keep no cookies, because a response must not
+ * change the requests after it, which are other callers'. Stateless and thread safe.
  */
 public final class HttpClients {
     private static final int MAX_CONNECTIONS_PER_DESTINATION = 512;
@@ -59,6 +61,7 @@
         client.setExecutor(threads);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setConnectTimeout(connectTimeout.toMillis());
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_DESTINATION);
         client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_REQUESTS_PER_DESTINATION);
