Send targets on byte for byte, or answer 400

Cause: Jetty's Request.path parses its argument as a URI, so that what follows two slashes is an authority. The request is made from the whole URI now. A target with a fragment, with bytes beyond ASCII or with a percent sign that escapes nothing can't be sent unchanged; it is answered 400 (before, its end was cut off, bytes became question marks, or it was answered 502).

--- a/router/src/main/java/org/wigeonferry/router/CallerRequestHandler.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerRequestHandler.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -35,6 +37,9 @@
      */
     private static final Duration ADMISSION_TIME_AFTER_STOP = Duration.ofMillis(2700);
 
+    /** Parts of a target that can't go on byte for byte: no URI has them (RFC 3986). */
+    private static final Pattern NOT_FORWARDABLE = Pattern.compile("[^!-~]|#|%(?!\\p{XDigit}{2})");
+
     private final CallContext context;
     private volatile boolean stopping;
     private volatile boolean refusing;
@@ -58,7 +63,7 @@
         CallerResponse callerResponse =
                 new CallerResponse(response, context.inFlight().track(callback));
         Optional<RoutedRequest> decoded = context.protocol().requestDecoder().decode(request);
-        if (decoded.isEmpty()) {
+        if (decoded.isEmpty() || !isForwardable(request.getHttpURI())) {
             refuse(callerResponse, "", RefusalCause.MALFORMED, ConfigurationVersion.NOT_CONSULTED);
             return true;
         }
@@ -77,6 +82,10 @@
         return true;
     }
 
+    private static boolean isForwardable(HttpURI uri) {
+        return !NOT_FORWARDABLE.matcher(uri.asString()).find();
+    }
+
     private void admit(Request request, RoutedRequest routed, CallerResponse callerResponse) {
         long now = context.control().nanoTime();
         AdmissionResult admission = context.state().admit(routed, now, System.currentTimeMillis());
--- a/router/src/main/java/org/wigeonferry/router/JettySender.java
+++ b/router/src/main/java/org/wigeonferry/router/JettySender.java
@@ -1,5 +1,7 @@
 package org.wigeonferry.router;
 
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -79,8 +81,7 @@
     }
 
     private Request newJettyRequest(UpstreamRequest upstreamRequest) {
-        Request request = client.newRequest("http://" + upstreamRequest.address() + "/");
-        request.method(upstreamRequest.method()).path(upstreamRequest.target());
+        Request request = newRequestFor(upstreamRequest).method(upstreamRequest.method());
         request.headers(
                 fields -> {
                     fields.clear();
@@ -94,6 +95,17 @@
         return request;
     }
 
+    /** Creates a request with the target as its caller wrote it. */
+    private Request newRequestFor(UpstreamRequest upstreamRequest) {
+        String origin = "http://" + upstreamRequest.address();
+        try {
+            // Jetty would take a target that begins with two slashes for an authority with a path.
+            return client.newRequest(new URI(origin + upstreamRequest.target()));
+        } catch (URISyntaxException e) {
+            return client.newRequest(origin).path(upstreamRequest.target());
+        }
+    }
+
     private static String contentType(UpstreamRequest upstreamRequest) {
         String type = upstreamRequest.fields().get(HttpHeader.CONTENT_TYPE);
         return type == null ? "application/octet-stream" : type;
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -145,14 +145,19 @@
                 .addRoute(route("safe", RequestKind.SAFE))
                 .addRoute(route("unsafe", RequestKind.UNSAFE))
                 .addRoute(route("stream", RequestKind.RESUMABLE_STREAM))
+                .addRoute(route("other", "//", RequestKind.SAFE))
                 .build();
     }
 
     private static Route route(String name, RequestKind kind) {
+        return route(name, "/" + name + "/", kind);
+    }
+
+    private static Route route(String name, String prefix, RequestKind kind) {
         return new Route(
                 name,
                 "example",
-                "/" + name + "/",
+                prefix,
                 kind,
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(1),
