--- a/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
+++ b/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
@@ -21,8 +21,8 @@
     private static final int MIN_CHECKS_PER_FIRST_CRASH = 4;
 
     /**
-     * Growth of the number of sends that is reported before the period is over. The precision of a
-     * mean depends on the ratio of the counts.
+     * Growth of the number of sends or of timed answers that is reported before the period is over.
+     * The precision of a mean depends on the ratio of the counts.
      */
     private static final double REPORTED_GROWTH = 1.5;
 
@@ -41,8 +41,10 @@
      *
      * @param poisonNews what the last report did not tell of poison requests
      * @param evidence evidence of the new releases in running roll-outs, by service
+     * @param decisionNear whether a roll-out is decided soon; then all evidence is news
      */
-    boolean takeDue(PoisonNews poisonNews, Map<String, ReleaseEvidence> evidence) {
+    boolean takeDue(
+            PoisonNews poisonNews, Map<String, ReleaseEvidence> evidence, boolean decisionNear) {
         checksSinceReport++;
         boolean crashesAreNews =
                 poisonNews == PoisonNews.REPEATED_CRASH
@@ -51,7 +53,12 @@
         boolean evidenceChanged =
                 checkCount % MIN_CHECKS_PER_CHANGED_REPORT == 0
                         && evidence.entrySet().stream()
-                                .anyMatch(entry -> isNews(entry.getKey(), entry.getValue()));
+                                .anyMatch(
+                                        entry ->
+                                                isNews(
+                                                        entry.getKey(),
+                                                        entry.getValue(),
+                                                        decisionNear));
         boolean periodPassed = checkCount % CHECKS_PER_PERIODIC_REPORT == 0;
         checkCount++;
         if (!crashesAreNews && !evidenceChanged && !periodPassed) {
@@ -62,9 +69,11 @@
         return true;
     }
 
-    private boolean isNews(String service, ReleaseEvidence evidence) {
+    private boolean isNews(String service, ReleaseEvidence evidence, boolean decisionNear) {
         ReleaseEvidence published = publishedEvidence.getOrDefault(service, ReleaseEvidence.NONE);
         return evidence.bad() > published.bad()
-                || evidence.sends() > REPORTED_GROWTH * published.sends();
+                || evidence.sends() > REPORTED_GROWTH * published.sends()
+                || evidence.timed() > REPORTED_GROWTH * published.timed()
+                || (decisionNear && !evidence.equals(published));
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
+++ b/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
@@ -131,15 +131,21 @@
         Map<String, ReleaseEvidence> evidenceByService = new HashMap<>();
         Map<String, RollOutEvidence> evidence = rollOuts.ownEvidence();
         for (RollOut rollOut : rollOuts.orders()) {
-            if (!isFinished(rollOut)) {
+            if (!rollOuts.isFinished(rollOut)) {
                 evidenceByService.put(rollOut.service(), evidence.get(rollOut.service()).fresh());
             }
         }
         return evidenceByService;
     }
 
-    boolean isRollOutRunning() {
-        return rollOuts.orders().stream().anyMatch(rollOut -> !isFinished(rollOut));
+    /** Whether a roll-out is running. */
+    public boolean isRollOutRunning() {
+        return rollOuts.orders().stream().anyMatch(rollOut -> !rollOuts.isFinished(rollOut));
+    }
+
+    /** Whether a roll-out is decided soon, so that all evidence should reach all routers. */
+    public boolean isDecisionNear(long nowNanos) {
+        return rollOuts.isDecisionNear(nowNanos);
     }
 
     private void noteStoredRecordRead() {
@@ -154,10 +160,6 @@
                 || rollOuts.isShownBad(rollOut);
     }
 
-    private boolean isFinished(RollOut rollOut) {
-        return rollOuts.state(rollOut).filter(s -> s != RollOutState.RUNNING).isPresent();
-    }
-
     private void report(RollOut rollOut, RollOutState next, long nowNanos) {
         LOG.atInfo()
                 .addKeyValue("service", rollOut.service())
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -229,7 +229,12 @@
             return;
         }
         PoisonRegister poison = state.poisonRegister();
-        if (!reportSchedule.takeDue(poison.news(), rollOutMonitor.ownEvidenceOfNewReleases())) {
+        boolean due =
+                reportSchedule.takeDue(
+                        poison.news(),
+                        rollOutMonitor.ownEvidenceOfNewReleases(),
+                        rollOutMonitor.isDecisionNear(control.nanoTime()));
+        if (!due) {
             return;
         }
         poison.onPublished();
@@ -244,11 +249,6 @@
                                 peerAddress));
     }
 
-    /** Whether a roll-out is running. */
-    public boolean isRollOutRunning() {
-        return rollOutMonitor.isRollOutRunning();
-    }
-
     private static void logCondemned(String suspect, Condemnation condemnation) {
         LOG.atWarn()
                 .addKeyValue("suspect", suspect)
--- a/router/src/test/java/org/wigeonferry/router/ReportScheduleTest.java
+++ b/router/src/test/java/org/wigeonferry/router/ReportScheduleTest.java
@@ -23,35 +23,45 @@
     void goodAnswersAreReportedByTheirGrowth() {
         int reports = 0;
         for (int check = 0; check < CHECKS_IN_24_SECONDS; check++) {
-            reports += schedule.takeDue(PoisonNews.NONE, evidence(check, 0)) ? 1 : 0;
+            reports += schedule.takeDue(PoisonNews.NONE, evidence(check, 0), false) ? 1 : 0;
         }
         assertThat(reports).isBetween(5, 12);
     }
 
     @Test
     void failureIsReportedWithinTwoChecks() {
-        schedule.takeDue(PoisonNews.NONE, evidence(0, 0));
-        schedule.takeDue(PoisonNews.NONE, evidence(0, 0));
-        boolean dueAtFirstCheck = schedule.takeDue(PoisonNews.NONE, evidence(0, 1));
-        boolean dueAtSecondCheck = schedule.takeDue(PoisonNews.NONE, evidence(0, 1));
+        schedule.takeDue(PoisonNews.NONE, evidence(0, 0), false);
+        schedule.takeDue(PoisonNews.NONE, evidence(0, 0), false);
+        boolean dueAtFirstCheck = schedule.takeDue(PoisonNews.NONE, evidence(0, 1), false);
+        boolean dueAtSecondCheck = schedule.takeDue(PoisonNews.NONE, evidence(0, 1), false);
+        assertThat(dueAtFirstCheck || dueAtSecondCheck).isTrue();
+    }
+
+    /** What a decision misses could be what tells a sound release. */
+    @Test
+    void anyAnswerIsReportedWithinTwoChecksBeforeADecision() {
+        schedule.takeDue(PoisonNews.NONE, evidence(20, 0), true);
+        schedule.takeDue(PoisonNews.NONE, evidence(20, 0), true);
+        boolean dueAtFirstCheck = schedule.takeDue(PoisonNews.NONE, evidence(21, 0), true);
+        boolean dueAtSecondCheck = schedule.takeDue(PoisonNews.NONE, evidence(21, 0), true);
         assertThat(dueAtFirstCheck || dueAtSecondCheck).isTrue();
     }
 
     @Test
     void repeatedCrashIsReportedAtOnce() {
-        schedule.takeDue(PoisonNews.NONE, Map.of());
-        assertThat(schedule.takeDue(PoisonNews.FIRST_CRASH, Map.of())).isFalse();
-        assertThat(schedule.takeDue(PoisonNews.REPEATED_CRASH, Map.of())).isTrue();
-        assertThat(schedule.takeDue(PoisonNews.NONE, Map.of())).isFalse();
+        schedule.takeDue(PoisonNews.NONE, Map.of(), false);
+        assertThat(schedule.takeDue(PoisonNews.FIRST_CRASH, Map.of(), false)).isFalse();
+        assertThat(schedule.takeDue(PoisonNews.REPEATED_CRASH, Map.of(), false)).isTrue();
+        assertThat(schedule.takeDue(PoisonNews.NONE, Map.of(), false)).isFalse();
     }
 
     /** Each router may see only one crash of a poison request; two seconds are four checks. */
     @Test
     void firstCrashIsReportedWithinTwoSeconds() {
-        schedule.takeDue(PoisonNews.NONE, Map.of());
+        schedule.takeDue(PoisonNews.NONE, Map.of(), false);
         boolean due = false;
         for (int check = 0; check < 4; check++) {
-            due |= schedule.takeDue(PoisonNews.FIRST_CRASH, Map.of());
+            due |= schedule.takeDue(PoisonNews.FIRST_CRASH, Map.of(), false);
         }
         assertThat(due).isTrue();
     }
@@ -60,7 +70,7 @@
     void quietRouterReportsPeriodically() {
         int reports = 0;
         for (int check = 0; check < CHECKS_IN_24_SECONDS; check++) {
-            reports += schedule.takeDue(PoisonNews.NONE, Map.of()) ? 1 : 0;
+            reports += schedule.takeDue(PoisonNews.NONE, Map.of(), false) ? 1 : 0;
         }
         assertThat(reports).isEqualTo(4);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -131,6 +131,18 @@
         return evidenceLog.total(order);
     }
 
+    /** Whether a roll-out that is not finished is decided soon. */
+    public boolean isDecisionNear(long nowNanos) {
+        return record.orders().stream()
+                .filter(order -> !isFinished(order))
+                .anyMatch(order -> TrafficMoveSchedule.isDecisionNear(order, nowNanos));
+    }
+
+    /** Whether an order is completed or rolled back. */
+    public boolean isFinished(RollOut order) {
+        return state(order).filter(s -> s != RollOutState.RUNNING).isPresent();
+    }
+
     /** Whether the move of a service's traffic to an order's release should start now. */
     public boolean shouldStartMove(RollOut order, long nowNanos) {
         return state(order).equals(Optional.of(RollOutState.RUNNING))
@@ -148,8 +160,7 @@
      * shown to be good when the time is up is rolled back.
      */
     public Optional<RollOutState> nextState(RollOut order, long nowNanos) {
-        Optional<RollOutState> state = state(order);
-        if (state.isPresent() && state.get() != RollOutState.RUNNING) {
+        if (isFinished(order)) {
             return Optional.empty();
         }
         RollOutEvidence total = totalEvidence(order);
@@ -166,7 +177,7 @@
         if (TrafficMoveSchedule.isTimeUp(order, nowNanos)) {
             return Optional.of(RollOutState.ROLLED_BACK);
         }
-        return state.isEmpty() ? Optional.of(RollOutState.RUNNING) : Optional.empty();
+        return state(order).isEmpty() ? Optional.of(RollOutState.RUNNING) : Optional.empty();
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
@@ -33,6 +33,9 @@
      */
     private static final double LATEST_ROLL_BACK = 0.95;
 
+    /** Fraction of the duration from which evidence is exchanged as fast as it comes. */
+    private static final double DECISION_NEAR = 0.8;
+
     /** Successful answers needed to start the move. */
     private static final int MIN_GOOD_ANSWERS = 12;
 
@@ -70,6 +73,11 @@
         return fraction(order, order.startNanos(), nowNanos) >= LATEST_COMPLETION;
     }
 
+    /** Whether a roll-out is decided soon, so that all evidence should reach all routers. */
+    static boolean isDecisionNear(RollOut order, long nowNanos) {
+        return fraction(order, order.startNanos(), nowNanos) >= DECISION_NEAR;
+    }
+
     /** Whether a roll-out that has not been completed has to be rolled back. */
     static boolean isTimeUp(RollOut order, long nowNanos) {
         return fraction(order, order.startNanos(), nowNanos) >= LATEST_ROLL_BACK;
