Never say "not run" of a request whose send starts as its call is ended

The cause of the end was determined on the control thread and applied on a traffic thread, and a send that was placed in between could start before that: the caller was then told that its request had not run. The deadline had the same gap. A call with an open send now ends with timed_out or outcome_unknown.

--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -207,17 +207,28 @@
     private void onDeadline() {
         RefusalCause cause =
                 job.possibleRuns() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE;
-        context.trafficExecutor().execute(() -> end(cause, SendOutcome.SILENT));
+        context.trafficExecutor()
+                .execute(() -> end(cause, RefusalCause.TIMED_OUT, SendOutcome.SILENT));
     }
 
     /** Responds now, as the process is about to stop. Called on the control thread. */
     void endBeforeStop() {
         RefusalCause cause =
                 job.possibleRuns() > 0 ? RefusalCause.OUTCOME_UNKNOWN : RefusalCause.STOPPING;
-        context.trafficExecutor().execute(() -> end(cause, SendOutcome.ABANDONED));
+        context.trafficExecutor()
+                .execute(() -> end(cause, RefusalCause.OUTCOME_UNKNOWN, SendOutcome.ABANDONED));
     }
 
-    private void end(RefusalCause cause, SendOutcome openSendOutcome) {
+    /**
+     * Ends the call.
+     *
+     * @param causeWithOpenSend replaces {@code causeWithoutSend} if a send has started since that
+     *     was determined
+     */
+    private void end(
+            RefusalCause causeWithoutSend,
+            RefusalCause causeWithOpenSend,
+            SendOutcome openSendOutcome) {
         Optional<RoutedSend> openSend;
         boolean streamStarted;
         synchronized (this) {
@@ -227,6 +238,7 @@
             openSend = currentSend;
             streamStarted = streaming;
         }
+        RefusalCause cause = openSend.isPresent() ? causeWithOpenSend : causeWithoutSend;
         openSend.ifPresent(routedSend -> routedSend.cancel(openSendOutcome));
         if (streamStarted) {
             abortStream(cause);
