--- a/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
+++ b/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
@@ -102,7 +102,7 @@
         LOG.atInfo()
                 .addKeyValue("heartbeat", report.heartbeat())
                 .addKeyValue("evidence", report.evidence())
-                .log("report of an earlier life");
+                .log("report of an earlier incarnation");
     }
 
     /** Records that the store answers again after an outage. */
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -172,7 +172,7 @@
 
     /**
      * Applies a router's report. The own report counts only as a sign that this router is live, but
-     * for what an earlier life of this router knew of poison requests and of roll-outs.
+     * for what an earlier incarnation of this router knew of poison requests and of roll-outs.
      */
     public void onRouterReport(String router, RouterReport report) {
         liveRouters.recordReport(router, control.nanoTime());
@@ -224,7 +224,8 @@
     }
 
     private void publishIfDue() {
-        // The first report replaces the one of an earlier life, so that has to be read before.
+        // The first report replaces the one of an earlier incarnation, so that has to be read
+        // before.
         if (!rollOutMonitor.isEvidenceRead()) {
             return;
         }
--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -138,7 +138,9 @@
         news = PoisonNews.NONE;
     }
 
-    /** Merges what a router reported; an earlier life of this one counts like another router. */
+    /**
+     * Merges what a router reported; an earlier incarnation of this one counts like another router.
+     */
     public void applyReport(PoisonReport report, long nowNanos) {
         report.answered().forEach(suspect -> peerAnswers.record(suspect, nowNanos));
         report.crashes().forEach((suspect, crashes) -> applyCrashes(suspect, crashes, nowNanos));
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
@@ -62,14 +62,17 @@
         restoredEvidence = Map.copyOf(evidence);
     }
 
-    /** Evidence counted by this router in all its lives, by service. */
+    /** Evidence counted by this router in all its incarnations, by service. */
     Map<String, RollOutEvidence> own() {
         Map<String, RollOutEvidence> withRunning = new HashMap<>();
         ownEvidence.keySet().forEach(service -> withRunning.put(service, own(service)));
         return withRunning;
     }
 
-    /** Evidence counted by this router in all its lives for a service that is being rolled out. */
+    /**
+     * Evidence counted by this router in all its incarnations for a service that is being rolled
+     * out.
+     */
     RollOutEvidence own(String service) {
         RollOutEvidence sum = ownEvidence.get(service);
         RollOutEvidence restored = restoredEvidence.get(service);
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -105,7 +105,7 @@
         return record.state(order);
     }
 
-    /** Evidence counted by this router in all its lives, by service. */
+    /** Evidence counted by this router in all its incarnations, by service. */
     public Map<String, RollOutEvidence> ownEvidence() {
         return evidenceLog.own();
     }
