Complete no release whose gaps between events are notably longer

Cause: one limit, twice the old release's gaps, decided both a roll-back and a completion. What lies between is unclear evidence, and it counted for the release. Undecided at the end is no.

--- a/routing/src/main/java/org/wigeonferry/routing/RollOutCriteria.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutCriteria.java
@@ -24,9 +24,15 @@
 
     private static final int MIN_STREAMS_TO_COMPARE = 8;
 
-    /** Greatest tolerated ratio of the new release's gaps between events to the old one's. */
+    /** Ratio of the new release's gaps between events to the old one's that rolls it back. */
     private static final double MAX_GAP_RATIO = 2.0;
 
+    /**
+     * Ratio of the gaps up to which a release may be completed. Lower, as a release that is several
+     * times slower on a part of its streams shows little in the mean of few.
+     */
+    private static final double MAX_GAP_RATIO_TO_COMPLETE = 1.25;
+
     private RollOutCriteria() {}
 
     /** Whether the evidence shows that the new release fails more or is slower. */
@@ -42,6 +48,7 @@
         return newRelease.good() >= minGoodAnswers
                 && newRelease.failureShare() <= maxFailureShare
                 && !lacksStreams(evidence)
+                && !mayBeSlower(evidence)
                 && !mustRollBack(evidence);
     }
 
@@ -63,6 +70,12 @@
                         > MAX_LATENCY_RATIO * oldRelease.meanFirstByteRatioMillionths();
     }
 
+    private static boolean mayBeSlower(RollOutEvidence evidence) {
+        return hasComparableGaps(evidence)
+                && evidence.fresh().meanGapRatio()
+                        > MAX_GAP_RATIO_TO_COMPLETE * evidence.old().meanGapRatio();
+    }
+
     private static boolean hasComparableGaps(RollOutEvidence evidence) {
         return evidence.fresh().gaps() >= MIN_STREAMS_TO_COMPARE
                 && evidence.old().gaps() >= MIN_STREAMS_TO_COMPARE;
--- a/routing/src/test/java/org/wigeonferry/routing/SlowReleaseTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SlowReleaseTest.java
@@ -9,6 +9,8 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a release that answers several times slower being completed: its first events are
@@ -54,6 +56,20 @@
         assertThat(nextState()).contains(RollOutState.ROLLED_BACK);
     }
 
+    /** Few of its streams reach three times the usual gap, and its mean gap is below twice it. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void mildlySlowReleaseIsNotCompleted(int seed) {
+        random.setSeed(seed);
+        answerOnOldRelease(120);
+        for (int i = 0; i < 25; i++) {
+            answer(send("v2", "small", i), i % 5 < 2 ? 2.9 : 1, IDLE);
+        }
+        assertThat(nextState(Duration.ofMillis(18_400)))
+                .isNotEqualTo(Optional.of(RollOutState.COMPLETED));
+        assertThat(nextState()).contains(RollOutState.ROLLED_BACK);
+    }
+
     @Test
     void slowStreamThatEndsIsCountedOnce() {
         answerOnOldRelease(20);
