--- a/router/src/main/java/org/wigeonferry/router/EvidenceSettling.java
+++ b/router/src/main/java/org/wigeonferry/router/EvidenceSettling.java
@@ -10,7 +10,7 @@
  * <p>Owned by the control thread.
  */
 final class EvidenceSettling {
-    /** In which the other routers publish their reports and this one reads them. */
+    /** Time in which the other routers publish their reports and this one reads them. */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(3);
 
     /** Time between two checks from which this process counts as having stood still. */
