Call Jetty with no monitor held, so that callers who leave can't hang the router

Cause: CallerResponse called Jetty's write and failed with its monitor held; Jetty called back into RoutedCall, whose next event held the call and waited for the response. Class: a callback under a monitor. Change: CallerResponse decides under its monitor what to do next and does it outside, one thread at a time; RoutedCall buffers events under its monitor and writes them after it. Looked for elsewhere: RoutedCall.resendOrFinish answered under its monitor (moved out); DisconnectDetectingEndPoint runs its actions outside its monitor already, and still reads from the socket under it.

--- a/router/src/main/java/org/wigeonferry/router/CallerResponse.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerResponse.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
@@ -19,7 +20,8 @@
  *
  * <p>Invariants: at most one write is in progress; events that arrive meanwhile are sent together
  * in the next write; a stream that ends without {@link #endStream}, be it with the process, does
- * not look complete. Thread safe.
+ * not look complete. At most one thread at a time is in Jetty's methods, and it holds no monitor of
+ * this object, as Jetty may call back from them. Thread safe.
  */
 final class CallerResponse {
     /**
@@ -36,6 +38,10 @@
     private boolean writing;
     private boolean endRequested;
     private boolean finished;
+    private boolean runningSteps;
+
+    /** The step that ends the response; empty until it ends, and once it has been taken. */
+    private Optional<Runnable> finalStep = Optional.empty();
 
     CallerResponse(Response response, Callback callback) {
         this.response = response;
@@ -43,14 +49,13 @@
     }
 
     /** Sends a complete response; does nothing if the response is already finished. */
-    synchronized void sendComplete(int status, HttpFields fields, byte[] body) {
-        if (finished) {
-            return;
-        }
-        finished = true;
-        setHead(status, fields);
-        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
-        response.write(true, ByteBuffer.wrap(body), callback);
+    void sendComplete(int status, HttpFields fields, byte[] body) {
+        finishWith(
+                () -> {
+                    setHead(status, fields);
+                    response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+                    response.write(true, ByteBuffer.wrap(body), callback);
+                });
     }
 
     /** How the end of a stream is marked; HTTP/1.0 has no chunks. */
@@ -60,7 +65,7 @@
     }
 
     /** Sets status and header fields; they are sent with the first events. */
-    synchronized void startStream(int status, HttpFields fields) {
+    void startStream(int status, HttpFields fields) {
         setHead(status, fields);
         if (streamFraming() == MessageFraming.CHUNKED) {
             // Jetty sends no chunks of its own accord on a connection that is not kept.
@@ -71,29 +76,92 @@
         }
     }
 
-    /** Sends complete events, or buffers them while a write is in progress. */
-    synchronized void writeEvents(ByteBuffer events) {
+    /** Buffers complete events until {@link #flush}. Does not call Jetty. */
+    synchronized void bufferEvents(ByteBuffer events) {
         pending.add(events);
         pendingBytes += events.remaining();
-        if (pendingBytes > MAX_PENDING_BYTES) {
+    }
+
+    /** Sends the buffered events, unless a write is in progress; its end sends them. */
+    void flush() {
+        boolean callerReadsTooSlowly;
+        synchronized (this) {
+            callerReadsTooSlowly = pendingBytes > MAX_PENDING_BYTES;
+        }
+        if (callerReadsTooSlowly) {
             abort(new IOException("caller reads too slowly: buffered events exceed the limit"));
             return;
         }
-        writeNext();
+        runSteps();
     }
 
     /** Ends the stream as complete, after the events that are still buffered. */
-    synchronized void endStream() {
-        endRequested = true;
-        writeNext();
+    void endStream() {
+        synchronized (this) {
+            endRequested = true;
+        }
+        runSteps();
     }
 
     /** Aborts the connection, so that the response can't look complete. */
-    synchronized void abort(Throwable cause) {
-        if (!finished) {
+    void abort(Throwable cause) {
+        finishWith(() -> callback.failed(cause));
+    }
+
+    private void finishWith(Runnable step) {
+        synchronized (this) {
+            if (finished) {
+                return;
+            }
             finished = true;
-            callback.failed(cause);
+            finalStep = Optional.of(step);
         }
+        runSteps();
+    }
+
+    /** Runs the steps that are due, unless a thread does so already; that one runs them then. */
+    private void runSteps() {
+        synchronized (this) {
+            if (runningSteps) {
+                return;
+            }
+            runningSteps = true;
+        }
+        for (Optional<Runnable> step = takeStep(); step.isPresent(); step = takeStep()) {
+            runStep(step.get());
+        }
+    }
+
+    private void runStep(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.warn("response can't be written", e);
+            abort(e);
+        }
+    }
+
+    /** The next step; without one, the steps count as run by no thread. */
+    private synchronized Optional<Runnable> takeStep() {
+        Optional<Runnable> step = finalStep.or(this::nextWrite);
+        finalStep = Optional.empty();
+        runningSteps = step.isPresent();
+        return step;
+    }
+
+    private Optional<Runnable> nextWrite() {
+        if (writing || finished || (pending.isEmpty() && !endRequested)) {
+            return Optional.empty();
+        }
+        ByteBuffer bytes = takePending();
+        if (endRequested) {
+            finished = true;
+            Callback end = Callback.from(this::onStreamWritten, callback::failed);
+            return Optional.of(() -> response.write(true, bytes, end));
+        }
+        writing = true;
+        Callback next = Callback.from(this::onWritten, this::abort);
+        return Optional.of(() -> response.write(false, bytes, next));
     }
 
     private void onStreamWritten() {
@@ -116,23 +184,11 @@
         response.getHeaders().add(fields);
     }
 
-    private void writeNext() {
-        if (writing || finished || (pending.isEmpty() && !endRequested)) {
-            return;
+    private void onWritten() {
+        synchronized (this) {
+            writing = false;
         }
-        ByteBuffer bytes = takePending();
-        if (endRequested) {
-            finished = true;
-            response.write(true, bytes, Callback.from(this::onStreamWritten, callback::failed));
-            return;
-        }
-        writing = true;
-        response.write(false, bytes, Callback.from(this::onWritten, this::abort));
-    }
-
-    private synchronized void onWritten() {
-        writing = false;
-        writeNext();
+        runSteps();
     }
 
     private ByteBuffer takePending() {
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -20,7 +20,8 @@
  * repeatable, or it is proved that it did not run), and responds to the caller.
  *
  * <p>Invariant: at most one send is in progress; callbacks of a send are ignored once it has been
- * superseded; the caller gets exactly one final response. Thread safe.
+ * superseded; the caller gets exactly one final response. No method of Jetty that may call back is
+ * called while the monitor of this object is held. Thread safe.
  */
 final class RoutedCall {
     private static final int GATEWAY_TIMEOUT = 504;
@@ -70,18 +71,21 @@
     }
 
     /** Forwards complete events of a stream to the caller; ignores those of a superseded send. */
-    synchronized void forwardEvents(
+    void forwardEvents(
             RoutedSend routedSend, ResponseHead head, EventScanner scanner, ByteBuffer events) {
-        if (finished.get() || !isCurrent(routedSend)) {
-            return;
-        }
-        if (!streaming) {
-            streaming = true;
-            log.recordTimeToFirstEvent();
-            callerResponse.startStream(head.status(), head.forwardedFields());
+        synchronized (this) {
+            if (finished.get() || !isCurrent(routedSend)) {
+                return;
+            }
+            if (!streaming) {
+                streaming = true;
+                log.recordTimeToFirstEvent();
+                callerResponse.startStream(head.status(), head.forwardedFields());
+            }
+            lastEventId = scanner.lastId().or(() -> lastEventId);
+            callerResponse.bufferEvents(events);
         }
-        lastEventId = scanner.lastId().or(() -> lastEventId);
-        callerResponse.writeEvents(events);
+        callerResponse.flush();
     }
 
     /** Records what an upstream says of itself. */
@@ -106,6 +110,7 @@
 
     private void resendOrFinish(
             RoutedSend routedSend, SendReport report, Optional<CompleteResponse> response) {
+        boolean answered;
         synchronized (this) {
             if (finished.get() || !isCurrent(routedSend)) {
                 return;
@@ -113,12 +118,16 @@
             currentSend = Optional.empty();
             // After the first events only the rest of the stream answers the request.
             boolean restOfStream = response.isEmpty();
-            if (report.outcome() == SendOutcome.ANSWERED && (restOfStream || !streaming)) {
+            answered = report.outcome() == SendOutcome.ANSWERED && (restOfStream || !streaming);
+            if (answered) {
                 finish();
-                sendResponse(response);
-                return;
+            } else {
+                response.ifPresent(serverError -> lastServerError = response);
             }
-            response.ifPresent(serverError -> lastServerError = response);
+        }
+        if (answered) {
+            sendResponse(response);
+            return;
         }
         if (job.route().kind().isRepeatable() || report.outcome().provedNotRun()) {
             context.control().execute(this::selectUpstream);
