Compare releases by a likelihood ratio, kind by kind, before one is completed

Cause: shares of few answers were compared with fixed bounds. Some 20 answers decided, of which 15 to 30 % always fail: requests that fail on any release, counted again at each repeat. A release with less than twice that share passed. Class: a decision that can't be taken back, on evidence whose uncertainty is not asked for. Change: first attempts are counted by kind of request, repeats apart; a release is completed if its answers are ten times likelier without 12 % more failures than with them, and rolled back early at fifty times the other way. Not found by it: releases that are slow on a small part of their plain answers, or bad under load only.

--- a/routing/src/main/java/org/wigeonferry/routing/Job.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Job.java
@@ -98,6 +98,11 @@
         return sends > 0;
     }
 
+    /** The kind of request, while only the first of its sends has been made. */
+    Optional<RequestKind> firstAttemptOf() {
+        return sends == 1 ? Optional.of(route.kind()) : Optional.empty();
+    }
+
     boolean wasSentTo(Incarnation incarnation) {
         return sentTo.contains(incarnation);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidence.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidence.java
@@ -1,5 +1,8 @@
 package org.wigeonferry.routing;
 
+import java.util.EnumMap;
+import java.util.Map;
+
 /**
  * Counts and latency sums of one release's answers.
  *
@@ -16,6 +19,8 @@
  * @param gapLogMillionths sum over {@code gaps} of the natural logarithm of the ratio of the time
  *     between events to the typical one of the model (see {@link TypicalGaps}), in millionths
  * @param gaps streams included in {@code gapLogMillionths}, running ones too
+ * @param firstAttempts the part of {@code good} and {@code bad} that are answers to the first send
+ *     of a request, by kind of request
  */
 public record ReleaseEvidence(
         long sends,
@@ -24,10 +29,27 @@
         long timed,
         long firstMicros,
         long gapLogMillionths,
-        long gaps) {
+        long gaps,
+        Map<RequestKind, AnswerCounts> firstAttempts) {
     /** No answers. */
     public static final ReleaseEvidence NONE = new ReleaseEvidence(0, 0, 0, 0, 0, 0, 0);
 
+    public ReleaseEvidence {
+        firstAttempts = Map.copyOf(firstAttempts);
+    }
+
+    /** Evidence whose answers all count as repeats. */
+    public ReleaseEvidence(
+            long sends,
+            long good,
+            long bad,
+            long timed,
+            long firstMicros,
+            long gapLogMillionths,
+            long gaps) {
+        this(sends, good, bad, timed, firstMicros, gapLogMillionths, gaps, Map.of());
+    }
+
     /** The sum of both, component by component. */
     public ReleaseEvidence plus(ReleaseEvidence other) {
         return new ReleaseEvidence(
@@ -37,7 +59,41 @@
                 timed + other.timed,
                 firstMicros + other.firstMicros,
                 gapLogMillionths + other.gapLogMillionths,
-                gaps + other.gaps);
+                gaps + other.gaps,
+                sum(firstAttempts, other.firstAttempts));
+    }
+
+    /** This evidence, with its answers counted as those to first sends of a kind of request. */
+    ReleaseEvidence ofFirstAttempt(RequestKind kind) {
+        return new ReleaseEvidence(
+                sends,
+                good,
+                bad,
+                timed,
+                firstMicros,
+                gapLogMillionths,
+                gaps,
+                Map.of(kind, new AnswerCounts(good, bad)));
+    }
+
+    /** Answers to the first sends of requests of a kind. */
+    AnswerCounts firstAttempts(RequestKind kind) {
+        return firstAttempts.getOrDefault(kind, AnswerCounts.NONE);
+    }
+
+    /** Answers that are not in {@code firstAttempts}. */
+    AnswerCounts repeats() {
+        AnswerCounts first =
+                firstAttempts.values().stream().reduce(AnswerCounts.NONE, AnswerCounts::plus);
+        return new AnswerCounts(good, bad).minus(first);
+    }
+
+    private static Map<RequestKind, AnswerCounts> sum(
+            Map<RequestKind, AnswerCounts> counts, Map<RequestKind, AnswerCounts> more) {
+        Map<RequestKind, AnswerCounts> sum = new EnumMap<>(RequestKind.class);
+        sum.putAll(counts);
+        more.forEach((kind, added) -> sum.merge(kind, added, AnswerCounts::plus));
+        return sum;
     }
 
     /** Number of successful and failed answers. */
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
@@ -27,6 +27,8 @@
     /** New upstreams are slow at first. */
     private static final Duration NEW_RELEASE_WARM_UP = Duration.ofSeconds(5);
 
+    private static final ReleaseEvidence FAILURE = new ReleaseEvidence(0, 0, 1, 0, 0, 0, 0);
+
     private final Map<String, RollOutEvidence> ownEvidence = new HashMap<>();
 
     /** What this router had reported before it was restarted, by service. */
@@ -149,9 +151,14 @@
     /**
      * Counts the outcome of a send.
      *
+     * @param firstAttemptOf the kind of request, if the send was the first of its request
      * @param running requests that its upstream ran
      */
-    void onSendEnd(SendReport report, int running, Optional<RollOut> order) {
+    void onSendEnd(
+            SendReport report,
+            Optional<RequestKind> firstAttemptOf,
+            int running,
+            Optional<RollOut> order) {
         Send send = report.send();
         runningGapLogs.remove(send);
         Optional<Long> gapLog =
@@ -159,9 +166,9 @@
                         .filter(gap -> isWarm(send, order))
                         .flatMap(gap -> gapLogMillionths(send, gap, running));
         if (report.outcome().isFailure() || gapLog.filter(ReleaseEvidenceLog::isSlow).isPresent()) {
-            add(send, order, new ReleaseEvidence(0, 0, 1, 0, 0, 0, 0));
+            add(send, order, ofAttempt(FAILURE, firstAttemptOf));
         } else if (report.outcome() == SendOutcome.ANSWERED) {
-            add(send, order, evidenceOfAnswer(report, order));
+            add(send, order, ofAttempt(evidenceOfAnswer(report, order), firstAttemptOf));
         }
         gapLog.ifPresent(log -> add(send, order, gapEvidence(log)));
         if (!isNew(send, order)) {
@@ -169,6 +176,11 @@
         }
     }
 
+    private static ReleaseEvidence ofAttempt(
+            ReleaseEvidence answer, Optional<RequestKind> firstAttemptOf) {
+        return firstAttemptOf.map(answer::ofFirstAttempt).orElse(answer);
+    }
+
     private Optional<Long> gapLogMillionths(Send send, Duration gap, int running) {
         return typicalGaps
                 .logRatio(send, gap, running)
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutCriteria.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutCriteria.java
@@ -6,16 +6,17 @@
  * <p>A wrong roll-back only fails to carry out the operator's order, while a wrong completion puts
  * all traffic on a bad release, so unclear evidence counts against the new release. Streams are
  * compared by the time between their events only: the first one of a new upstream is late until it
- * has prompts cached. Stateless and thread safe.
+ * has prompts cached. Few answers show little either way, so a release with few is not completed.
+ * Stateless and thread safe.
  */
 final class RollOutCriteria {
     private static final int MIN_FAILED_ANSWERS_TO_ROLL_BACK = 4;
 
-    /** Failure share up to which a release is never rolled back for its failures. */
-    private static final double ALWAYS_TOLERATED_FAILURE_SHARE = 0.15;
+    /** Greatest odds, of failing more to not, with which a release is completed. */
+    private static final double MAX_ODDS_TO_COMPLETE = 0.1;
 
-    /** Greatest tolerated ratio of the new release's failure share to the old one's. */
-    private static final double MAX_FAILURE_SHARE_RATIO = 2.0;
+    /** Least odds, of failing more to not, with which a release is rolled back early. */
+    private static final double MIN_ODDS_TO_ROLL_BACK = 50;
 
     private static final int MIN_TIMED_ANSWERS_TO_COMPARE = 8;
 
@@ -37,25 +38,23 @@
 
     /** Whether the evidence shows that the new release fails more or is slower. */
     static boolean mustRollBack(RollOutEvidence evidence) {
-        return failsMore(evidence.fresh(), evidence.old()) || isSlower(evidence);
+        return failsMore(evidence) || isSlower(evidence);
     }
 
     /** Whether the evidence suffices to move all traffic to the new release. */
     static boolean mayComplete(RollOutEvidence evidence, int minGoodAnswers) {
         ReleaseEvidence newRelease = evidence.fresh();
-        // 10 %, or one and a half times the old release's share if that is more.
-        double maxFailureShare = Math.max(0.1, evidence.old().failureShare() * 1.5);
         return newRelease.good() >= minGoodAnswers
-                && newRelease.failureShare() <= maxFailureShare
+                && FailureComparison.logLikelihoodRatio(evidence) <= Math.log(MAX_ODDS_TO_COMPLETE)
                 && !lacksStreams(evidence)
                 && !mayBeSlower(evidence)
                 && !mustRollBack(evidence);
     }
 
-    private static boolean failsMore(ReleaseEvidence newRelease, ReleaseEvidence oldRelease) {
-        return newRelease.bad() >= MIN_FAILED_ANSWERS_TO_ROLL_BACK
-                && newRelease.failureShare() > ALWAYS_TOLERATED_FAILURE_SHARE
-                && newRelease.failureShare() > MAX_FAILURE_SHARE_RATIO * oldRelease.failureShare();
+    private static boolean failsMore(RollOutEvidence evidence) {
+        return evidence.fresh().bad() >= MIN_FAILED_ANSWERS_TO_ROLL_BACK
+                && FailureComparison.logLikelihoodRatio(evidence)
+                        >= Math.log(MIN_ODDS_TO_ROLL_BACK);
     }
 
     private static boolean isSlower(RollOutEvidence evidence) {
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -30,17 +30,14 @@
      */
     private static final double SELECTED_SESSIONS_FACTOR = 1.5;
 
-    /** Sends to the new release that are allowed on top of its share. */
-    private static final int EXTRA_NEW_RELEASE_SENDS = 2;
-
-    private final double exposureShare;
+    private final RoutingLimits limits;
     private final SessionPins pins;
     private final ReleaseEvidenceLog evidenceLog = new ReleaseEvidenceLog();
     private final RollOutRecord record = new RollOutRecord();
     private boolean storedRecordRead;
 
     RollOutTracker(RoutingLimits limits) {
-        exposureShare = limits.exposureShare();
+        this.limits = limits;
         pins = new SessionPins(limits.sessionTtl());
     }
 
@@ -183,8 +180,10 @@
     /**
      * Rules for a job's upstream in order of preference; a rule applies only if no upstream meets
      * an earlier one.
+     *
+     * @param routerCount routers among which the exposure of a new release is divided
      */
-    List<UpstreamRule> upstreamRules(Job job, long nowNanos) {
+    List<UpstreamRule> upstreamRules(Job job, int routerCount, long nowNanos) {
         Optional<RollOut> newest = record.order(job.service());
         if (newest.isEmpty()) {
             return rulesWithoutOrder(job.service());
@@ -204,14 +203,18 @@
             return List.of(onlyOld);
         }
         Optional<TrafficMove> move = record.moveOf(order);
-        if (move.isEmpty() && !mayExposeMore(order, nowNanos)) {
+        // Only sessions move early: a request without one needs no cached prompt.
+        boolean moves = move.isPresent() && job.sessionId().isPresent();
+        if (!moves && !mayExposeMore(order, routerCount, nowNanos)) {
             return List.of(onlyOld);
         }
         Optional<String> pinned =
                 job.sessionId()
                         .flatMap(session -> pins.releaseOf(job.service(), session, nowNanos));
+        // A request without a session can't meet both releases in one.
         boolean mayMove =
                 move.isPresent()
+                        || job.sessionId().isEmpty()
                         || elapsedFraction(order, nowNanos) >= MIN_ELAPSED_TO_MOVE_SESSIONS;
         if (pinned.filter(newRelease::equals).isPresent()
                 || (mayMove && isSelectedToMove(order, move, job, nowNanos))) {
@@ -245,7 +248,7 @@
      */
     void onSendEnd(SendReport report, Job job, int running, long nowNanos) {
         recordSession(report.send(), job, nowNanos);
-        evidenceLog.onSendEnd(report, running, orderOf(report.send()));
+        evidenceLog.onSendEnd(report, job.firstAttemptOf(), running, orderOf(report.send()));
     }
 
     /**
@@ -275,17 +278,18 @@
         double movedShare =
                 move.map(m -> TrafficMoveSchedule.movedShare(order, m, nowNanos)).orElse(0.0);
         return Hashes.fraction(name + '#' + order.revision())
-                < Math.max(movedShare, SELECTED_SESSIONS_FACTOR * exposureShare);
+                < Math.max(movedShare, SELECTED_SESSIONS_FACTOR * limits.exposureShare());
     }
 
     /** Whether this router may send more requests to the new release before the move. */
-    private boolean mayExposeMore(RollOut order, long nowNanos) {
+    private boolean mayExposeMore(RollOut order, int routerCount, long nowNanos) {
         if (elapsedFraction(order, nowNanos) >= 1) {
             return false;
         }
         RollOutEvidence evidence = evidenceLog.own(order.service());
         return evidence.fresh().sends()
-                < exposureShare * evidence.sends() + EXTRA_NEW_RELEASE_SENDS;
+                < limits.exposureShare() * evidence.sends()
+                        + limits.extraExposedSends() / routerCount;
     }
 
     private static double elapsedFraction(RollOut order, long nowNanos) {
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingLimits.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingLimits.java
@@ -15,6 +15,7 @@
  *     over all routers
  * @param exposureShare share of a service's requests that the new release of a running roll-out may
  *     get, from 0 to 1
+ * @param extraExposedSends sends to that release beyond its share, over all routers
  * @param sessionTtl how long a session lasts after its last request
  * @param outageGracePeriod grace period after an outage of the store; removals of upstreams are put
  *     off until its end
@@ -26,5 +27,6 @@
         double coldRateFactor,
         double extraColdRequestsPerSecond,
         double exposureShare,
+        double extraExposedSends,
         Duration sessionTtl,
         Duration outageGracePeriod) {}
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -156,7 +156,7 @@
                                         routers.assumedCount()));
         UpstreamRule rule = commonRule();
         Optional<UpstreamState> upstream =
-                rollOuts.upstreamRules(job, nowNanos).stream()
+                rollOuts.upstreamRules(job, routers.assumedCount(), nowNanos).stream()
                         .map(r -> selector.select(job, selection.model(), rule.and(r), nowNanos))
                         .flatMap(Optional::stream)
                         .findFirst();
--- a/routing/src/test/java/org/wigeonferry/routing/Fixtures.java
+++ b/routing/src/test/java/org/wigeonferry/routing/Fixtures.java
@@ -26,6 +26,7 @@
                     1,
                     0,
                     0.1,
+                    2,
                     Duration.ofSeconds(5),
                     Duration.ofSeconds(2));
 
