Drop counted sends that have left their window also while nobody asks for the count

A router kept the time of each send to an upstream for as long as that was known: the count is only asked for while an upstream is cold. Found by reading; some 30 bytes a send. No test of its own: nothing but the memory shows it.

--- a/routing/src/main/java/org/wigeonferry/routing/SlidingWindowCounter.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SlidingWindowCounter.java
@@ -18,13 +18,18 @@
     }
 
     void add(long nowNanos) {
+        dropOld(nowNanos);
         eventNanos.addLast(nowNanos);
     }
 
     int count(long nowNanos) {
+        dropOld(nowNanos);
+        return eventNanos.size();
+    }
+
+    private void dropOld(long nowNanos) {
         while (!eventNanos.isEmpty() && nowNanos - eventNanos.peekFirst() >= windowNanos) {
             eventNanos.removeFirst();
         }
-        return eventNanos.size();
     }
 }
