Keep to the limit of requests that an upstream names

What upstreams saw: far more requests than they take from all routers (LIMIT; 27 to 44 in 4 s with 21 to 30 allowed). Cause: no code read the field. Class: what an upstream says of itself, so it is read, stored, bounded and forgotten with that it leaves or pauses (UpstreamAnnouncementDecoder, UpstreamNotices). Change: routers divide the requests of a 4 s window by hash, as they divide cold starts; each counts all its sends to the upstream since it knows the limit. What finds no room goes to other upstreams, or is refused at once with the time at which there is room. The limit ends with an answer that names none and with the incarnation; a router without a share tries each 30 to 60 s.

--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -127,6 +127,7 @@
                 .addKeyValue("upstream", send.upstream().id())
                 .addKeyValue("leaving", announcement.leaving())
                 .addKeyValue("pause_ms", announcement.pause().map(Duration::toMillis).orElse(0L))
+                .addKeyValue("requests_per_s", announcement.requestsPerSecond().orElse(-1))
                 .log("upstream announced");
     }
 
--- a/router/src/main/java/org/wigeonferry/router/SendRecorder.java
+++ b/router/src/main/java/org/wigeonferry/router/SendRecorder.java
@@ -26,9 +26,7 @@
 
     /** Records what an upstream says of itself, before anything else is placed. */
     void recordAnnouncement(Send send, UpstreamAnnouncement announcement) {
-        if (!announcement.equals(UpstreamAnnouncement.NONE)) {
-            context.control().execute(() -> applyAnnouncement(send, announcement));
-        }
+        context.control().execute(() -> applyAnnouncement(send, announcement));
     }
 
     /** Records the end of a send, then runs a task on the control thread. */
--- a/router/src/test/java/org/wigeonferry/router/TestProtocol.java
+++ b/router/src/test/java/org/wigeonferry/router/TestProtocol.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -12,7 +13,7 @@
 import org.wigeonferry.routing.UpstreamAnnouncement;
 
 /**
- * A wire protocol for tests: the headers Id, Stamp, Not-Run, Leaving, Retry-After and
+ * A wire protocol for tests: the headers Id, Stamp, Not-Run, Leaving, Retry-After, Limit and
  * Last-Event-Id.
  */
 final class TestProtocol {
@@ -43,7 +44,11 @@
                                         fields.contains("Leaving"),
                                         Optional.ofNullable(fields.get("Retry-After"))
                                                 .map(Long::parseLong)
-                                                .map(Duration::ofSeconds)),
+                                                .map(Duration::ofSeconds),
+                                        fields.contains("Limit")
+                                                ? OptionalDouble.of(
+                                                        Double.parseDouble(fields.get("Limit")))
+                                                : OptionalDouble.empty()),
                                 forwardedFields(fields)));
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/PlacementRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PlacementRules.java
@@ -38,7 +38,7 @@
     UpstreamRule all(Optional<RoutingConfig> config, LiveRouters routers) {
         return UpstreamRules.SERVES_JOB
                 .and(UpstreamRules.NOT_DRAINING)
-                .and(notices.rule(routers.ownName()))
+                .and(notices.rule(routers))
                 .and(UpstreamRules.NOT_TRIED)
                 .and(UpstreamRules.outsideZones(disabledZones))
                 .and(UpstreamRules.withinColdRate(target -> ownColdRate(target, config, routers)));
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -273,8 +273,7 @@
     private Refused noUpstream(Job job, long nowNanos) {
         Refused refused = refusalOrOutcomeUnknown(job, RefusalCause.NO_UPSTREAM);
         return new Refused(
-                refused.cause(),
-                upstreams.soonestReturn(job.service(), routers.ownName(), nowNanos));
+                refused.cause(), upstreams.soonestReturn(job.service(), routers, nowNanos));
     }
 
     private UpstreamRule commonRule() {
--- a/routing/src/main/java/org/wigeonferry/routing/SlidingWindowCounter.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SlidingWindowCounter.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalLong;
 
 /**
  * Counts events within a sliding window.
@@ -27,6 +28,21 @@
         return eventNanos.size();
     }
 
+    /** Events at or after a time within the window. */
+    int countSince(long sinceNanos, long nowNanos) {
+        dropOld(nowNanos);
+        return (int) eventNanos.stream().filter(t -> t - sinceNanos >= 0).count();
+    }
+
+    /** The time of the first event at or after a time within the window; empty if there is none. */
+    OptionalLong firstSince(long sinceNanos, long nowNanos) {
+        dropOld(nowNanos);
+        return eventNanos.stream()
+                .filter(t -> t - sinceNanos >= 0)
+                .mapToLong(Long::longValue)
+                .findFirst();
+    }
+
     private void dropOld(long nowNanos) {
         while (!eventNanos.isEmpty() && nowNanos - eventNanos.peekFirst() >= windowNanos) {
             eventNanos.removeFirst();
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamAnnouncement.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamAnnouncement.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * What an upstream says of itself with an answer.
@@ -10,11 +11,14 @@
  *
  * @param leaving whether it is about to stop and wants no new requests
  * @param pause how long it wants no requests; empty if it does not say so
+ * @param requestsPerSecond requests per second that it takes from all routers together; empty if it
+ *     names no limit
  */
-public record UpstreamAnnouncement(boolean leaving, Optional<Duration> pause) {
+public record UpstreamAnnouncement(
+        boolean leaving, Optional<Duration> pause, OptionalDouble requestsPerSecond) {
     /** An answer that says nothing. */
     public static final UpstreamAnnouncement NONE =
-            new UpstreamAnnouncement(false, Optional.empty());
+            new UpstreamAnnouncement(false, Optional.empty(), OptionalDouble.empty());
 
     /** Longer pauses, such as those of a faulty upstream, count as this one. */
     private static final Duration MAX_PAUSE = Duration.ofMinutes(5);
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -124,15 +124,13 @@
         return notices;
     }
 
-    /** Time until a service's first upstream that pauses may be used; empty if none pauses. */
-    Optional<Duration> soonestReturn(String service, String router, long nowNanos) {
+    /** Time until a service's first upstream that wants no requests now may be used, if any. */
+    Optional<Duration> soonestReturn(String service, LiveRouters routers, long nowNanos) {
         return notices.soonestReturn(
                 upstreamStates.values().stream()
-                        .map(UpstreamState::instance)
-                        .filter(instance -> instance.service().equals(service))
-                        .map(UpstreamInstance::incarnation)
+                        .filter(state -> state.instance().service().equals(service))
                         .toList(),
-                router,
+                routers,
                 nowNanos);
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * What this router knows about an upstream: its registration, and running and recent sends to it.
@@ -52,6 +53,9 @@
     private final PrefixCacheEstimate prefixCache =
             new PrefixCacheEstimate(DEFAULT_CAPACITY_TOKENS / 2);
     private final SlidingWindowCounter recentSends = new SlidingWindowCounter(COLD_RATE_WINDOW);
+    private final SlidingWindowCounter sendsForRateLimit =
+            new SlidingWindowCounter(RequestRateLimit.WINDOW);
+    private long lastSendNanos;
     private int runningSends;
     private long queuedTokens;
     private double failureShare;
@@ -64,6 +68,7 @@
         key = Hashes.key(instance.id());
         this.instance = instance;
         suspendedUntilNanos = nowNanos;
+        lastSendNanos = nowNanos;
         coldUntilNanos = nowNanos + instance.coldTimeLeft().toNanos();
     }
 
@@ -102,6 +107,21 @@
         return recentSends.count(nowNanos);
     }
 
+    /** Sends at or after a time within {@link RequestRateLimit#WINDOW}. */
+    int sendsSince(long sinceNanos, long nowNanos) {
+        return sendsForRateLimit.countSince(sinceNanos, nowNanos);
+    }
+
+    /** When the first of those sends was made; empty if there is none. */
+    OptionalLong firstSendSince(long sinceNanos, long nowNanos) {
+        return sendsForRateLimit.firstSince(sinceNanos, nowNanos);
+    }
+
+    /** Time since the last send, or since the upstream is known. */
+    Duration timeWithoutSends(long nowNanos) {
+        return Duration.ofNanos(nowNanos - lastSendNanos);
+    }
+
     /** Cost of a token with a model, as a fraction of the cost with the most expensive model. */
     double relativeCost(String model) {
         return engineTraits.map(traits -> traits.relativeCost(model)).orElse(1.0);
@@ -151,6 +171,8 @@
         runningSends++;
         queuedTokens += send.weightedUncachedTokens();
         recentSends.add(nowNanos);
+        sendsForRateLimit.add(nowNanos);
+        lastSendNanos = nowNanos;
         send.model().ifPresent(model -> recordPrompt(model, request.parts()));
     }
 
--- a/routing/src/test/java/org/wigeonferry/routing/UpstreamNoticesTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/UpstreamNoticesTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -12,12 +13,13 @@
 class UpstreamNoticesTest {
     private static final long NOW_NANOS = 100 * Fixtures.NANOS_PER_SECOND;
     private static final UpstreamAnnouncement LEAVING =
-            new UpstreamAnnouncement(true, Optional.empty());
+            new UpstreamAnnouncement(true, Optional.empty(), OptionalDouble.empty());
 
     private final RoutingState state = Fixtures.state(Fixtures.config(7), NOW_NANOS);
 
     private static UpstreamAnnouncement pause(int seconds) {
-        return new UpstreamAnnouncement(false, Optional.of(Duration.ofSeconds(seconds)));
+        return new UpstreamAnnouncement(
+                false, Optional.of(Duration.ofSeconds(seconds)), OptionalDouble.empty());
     }
 
     private PlacementResult place(long nowNanos) {
