Give the routers of the tests an extra exposure for all eight routers that they assume

RouterControlTest.failureOfANewReleaseIsPublishedWithinASecond sends three requests from one router; the fixture allowed two for all eight since the exposure beyond the share is divided. The check is unchanged.

--- a/router/src/test/java/org/wigeonferry/router/RoutingStates.java
+++ b/router/src/test/java/org/wigeonferry/router/RoutingStates.java
@@ -26,7 +26,7 @@
                         1,
                         0,
                         0.1,
-                        2,
+                        24,
                         Duration.ofSeconds(5),
                         REMOVAL_DELAY),
                 new Freshness(Duration.ofMinutes(5), Duration.ofSeconds(5)),
