--- a/router/src/test/java/org/wigeonferry/router/AnnouncingUpstreamTest.java
+++ b/router/src/test/java/org/wigeonferry/router/AnnouncingUpstreamTest.java
@@ -9,8 +9,8 @@
 import org.wigeonferry.stand_ins.UpstreamScript;
 
 /**
- * Guards against requests to an upstream that has said with an answer that it leaves, or that it
- * wants none for a while.
+ * Guards against requests to an upstream that has said with an answer that it leaves, that it wants
+ * none for a while, or how many it takes.
  */
 class AnnouncingUpstreamTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nId: id-1\r\nStamp: s\r\n";
@@ -65,6 +65,33 @@
         }
     }
 
+    /** A limit of 0 leaves the five requests that any limit allows beyond its rate. */
+    @Test
+    void upstreamThatLimitsItsRequestsGetsNoMore() throws Exception {
+        try (ScriptedUpstream limited = new ScriptedUpstream(answer(OK + "Limit: 0\r\n" + BODY));
+                ScriptedUpstream other = new ScriptedUpstream(answer(OK + BODY));
+                RouterHarness harness = new RouterHarness(List.of(limited, other))) {
+            for (int i = 0; i < 30; i++) {
+                assertThat(harness.exchange("POST", "/unsafe/x", "body"))
+                        .startsWith("HTTP/1.1 200");
+            }
+            assertThat(limited.requests()).hasSizeBetween(1, 6);
+        }
+    }
+
+    @Test
+    void requestBeyondTheLimitOfAllUpstreamsIsRefusedAtOnce() throws Exception {
+        try (ScriptedUpstream limited = new ScriptedUpstream(answer(OK + "Limit: 0\r\n" + BODY));
+                RouterHarness harness = new RouterHarness(List.of(limited))) {
+            String response = "";
+            for (int i = 0; i < 7; i++) {
+                response = harness.exchange("POST", "/unsafe/x", "body");
+            }
+            assertThat(response).startsWith("HTTP/1.1 503").containsPattern("Retry-After: [1-4]");
+            assertThat(response).contains("\"not_run\":true");
+        }
+    }
+
     @Test
     void allUpstreamsThatLeaveRefuseAtOnce() throws Exception {
         try (ScriptedUpstream leaving = new ScriptedUpstream(answer(OK + "Leaving: 1\r\n" + BODY));
