Stop the stand-in store at once

Cause: a poll that came after the waiting ones had been answered waited for ever, and a connection that has sent no request yet holds up Jetty's graceful stop for a second or more. More likely since each call has a connection of its own. The test failed for the stand-in; no product code is changed.

--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/StoreStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/StoreStandIn.java
@@ -47,6 +47,7 @@
     private int lostAnswers;
     private int calls;
     private boolean refusedBefore;
+    private boolean closing;
     private final List<Long> waitsAfterRefusals = new ArrayList<>();
 
     /** Starts on a free port. */
@@ -177,7 +178,7 @@
         long wait = Math.min(LONGEST_WAIT_MILLIS, Long.parseLong(query.getValue("wait_ms")));
         WaitingQuestion question =
                 new WaitingQuestion(query.getValue("table"), after, response, callback);
-        if (wait == 0 || !changes(question).isEmpty()) {
+        if (wait == 0 || closing || !changes(question).isEmpty()) {
             Replies.sendJson(response, callback, 200, answer(changes(question)));
             return;
         }
@@ -254,8 +255,13 @@
 
     @Override
     public void close() throws Exception {
+        synchronized (this) {
+            closing = true;
+            answerAll();
+        }
         timer.shutdownNow();
-        answerAll();
+        // At once: a connection that has sent no request yet would hold up a graceful stop.
+        server.setStopTimeout(0);
         server.stop();
     }
 }
