Try a release under the load of all requests, in short pulses

What callers saw: a bad version of booking-desk got requests more than 5 s after its 50th bad answer (EXPOSURE): it fails under load only, and had been completed on answers without load. Cause: requests without a session reached a new release as an even, small share, which loads its upstreams by a seventh of what they bear after the completion. Class: evidence from other conditions than those that the decision is about. Change: from 0.3 of the duration on, requests without a session all go to the new release in pulses of the same times at all routers, until the exposure share is used up, and to the old one between them.

--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -190,9 +190,8 @@
         }
         RollOut order = newest.get();
         String newRelease = order.release();
-        UpstreamRule onlyNew = (upstream, j, t) -> upstream.instance().release().equals(newRelease);
-        UpstreamRule onlyOld =
-                (upstream, j, t) -> !upstream.instance().release().equals(newRelease);
+        UpstreamRule onlyNew = UpstreamRules.ofRelease(newRelease);
+        UpstreamRule onlyOld = UpstreamRules.notOfRelease(newRelease);
         Optional<RollOutState> state = state(order);
         if (state.equals(Optional.of(RollOutState.COMPLETED))) {
             return List.of(onlyNew, onlyOld);
@@ -211,10 +210,14 @@
         Optional<String> pinned =
                 job.sessionId()
                         .flatMap(session -> pins.releaseOf(job.service(), session, nowNanos));
-        // A request without a session can't meet both releases in one.
+        // Requests without a session can't meet both releases in one.
+        if (job.sessionId().isEmpty()) {
+            return LoadPulses.isOn(order, limits.exposureShare(), nowNanos)
+                    ? List.of(onlyNew, onlyOld)
+                    : List.of(onlyOld, onlyNew);
+        }
         boolean mayMove =
                 move.isPresent()
-                        || job.sessionId().isEmpty()
                         || elapsedFraction(order, nowNanos) >= MIN_ELAPSED_TO_MOVE_SESSIONS;
         if (pinned.filter(newRelease::equals).isPresent()
                 || (mayMove && isSelectedToMove(order, move, job, nowNanos))) {
@@ -232,8 +235,7 @@
         if (rolledBack.isEmpty()) {
             return List.of(any);
         }
-        String badRelease = rolledBack.get();
-        return List.of((upstream, j, t) -> !upstream.instance().release().equals(badRelease), any);
+        return List.of(UpstreamRules.notOfRelease(rolledBack.get()), any);
     }
 
     void onSend(Send send, Job job, long nowNanos) {
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamRules.java
@@ -26,6 +26,16 @@
 
     private UpstreamRules() {}
 
+    /** Allows only upstreams of a release. */
+    static UpstreamRule ofRelease(String release) {
+        return (upstream, job, nowNanos) -> upstream.instance().release().equals(release);
+    }
+
+    /** Allows only upstreams of other releases. */
+    static UpstreamRule notOfRelease(String release) {
+        return (upstream, job, nowNanos) -> !upstream.instance().release().equals(release);
+    }
+
     /** Allows only upstreams in none of the given availability zones. */
     static UpstreamRule outsideZones(Set<String> zones) {
         return (upstream, job, nowNanos) -> !zones.contains(upstream.instance().zone());
