Fail a response whose last step Jetty rejects

The steps of a response run outside its monitor since the fix of the hang, and one that threw as the last left the request in flight for ever. Found by reading the diff; CallersThatLeaveHangRouterTest.responseThatJettyRejectsFails.

--- a/router/src/main/java/org/wigeonferry/router/CallerResponse.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerResponse.java
@@ -137,10 +137,23 @@
             step.run();
         } catch (RuntimeException e) {
             LOG.warn("response can't be written", e);
-            abort(e);
+            failAfter(e);
         }
     }
 
+    /** Fails the response, also if the step that ends it has thrown. */
+    private void failAfter(RuntimeException thrown) {
+        boolean lastStepThrew;
+        synchronized (this) {
+            lastStepThrew = finished && finalStep.isEmpty();
+        }
+        if (lastStepThrew) {
+            callback.failed(thrown);
+            return;
+        }
+        abort(thrown);
+    }
+
     /** The next step; without one, the steps count as run by no thread. */
     private synchronized Optional<Runnable> takeStep() {
         Optional<Runnable> step = finalStep.or(this::nextWrite);
--- a/router/src/test/java/org/wigeonferry/router/CallersThatLeaveHangRouterTest.java
+++ b/router/src/test/java/org/wigeonferry/router/CallersThatLeaveHangRouterTest.java
@@ -101,4 +101,20 @@
         send("event");
         assertThat(calls).containsExactly("write begins", "write ends", "failed");
     }
+
+    @Test
+    void responseThatJettyRejectsFails() {
+        Response response =
+                (Response)
+                        Proxy.newProxyInstance(
+                                getClass().getClassLoader(),
+                                new Class<?>[] {Response.class},
+                                (proxy, method, args) -> {
+                                    throw new IllegalStateException("already committed");
+                                });
+        callerResponse =
+                new CallerResponse(response, Callback.from(() -> {}, cause -> record("failed")));
+        callerResponse.sendComplete(200, HttpFields.EMPTY, new byte[0]);
+        assertThat(calls).containsExactly("failed");
+    }
 }
