--- a/routing/src/main/java/org/wigeonferry/routing/LoadPulses.java
+++ b/routing/src/main/java/org/wigeonferry/routing/LoadPulses.java
@@ -5,9 +5,9 @@
 /**
  * Short times in which a release that is being rolled out gets all requests without a session.
  *
- * <p>Answers releases that fail under load only: a small share of the requests, spread evenly,
- * would never load them as the whole traffic does after their completion. The times are the same at
- * all routers. Stateless and thread safe.
+ * <p>Some releases fail under load only, and a small share of the requests, spread evenly, would
+ * never load them as the whole traffic does after their completion. The times are the same at all
+ * routers. Stateless and thread safe.
  */
 final class LoadPulses {
     /** Time from the start of a pulse to that of the next one. */
