--- a/router/src/main/java/org/wigeonferry/router/SendRecorder.java
+++ b/router/src/main/java/org/wigeonferry/router/SendRecorder.java
@@ -24,7 +24,10 @@
         this.log = log;
     }
 
-    /** Records what an upstream says of itself, before anything else is placed. */
+    /**
+     * Records what an upstream says of itself, before anything else is placed; also that it says
+     * nothing, which ends a limit that it named before.
+     */
     void recordAnnouncement(Send send, UpstreamAnnouncement announcement) {
         context.control().execute(() -> applyAnnouncement(send, announcement));
     }
