RouterHarness: ports that differ

Cause: each port was given back before the next was asked for. All are taken now before one is given back; another process can still take one in between.

--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.wigeonferry.core_types.HostAddress;
@@ -45,13 +46,14 @@
                                 report -> {},
                                 (order, next, known) -> {},
                                 (order, known, now) -> {}));
-        port = freePort();
+        List<Integer> ports = freePorts(3);
+        port = ports.get(0);
         server =
                 new RouterServer(
                         new RouterAddresses(
                                 new HostAddress(LOOPBACK, port),
-                                new HostAddress(LOOPBACK, freePort()),
-                                new HostAddress(LOOPBACK, freePort())),
+                                new HostAddress(LOOPBACK, ports.get(1)),
+                                new HostAddress(LOOPBACK, ports.get(2))),
                         control,
                         router,
                         sender,
@@ -181,9 +183,18 @@
                 Duration.ZERO);
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /** Ports that differ, as all are taken before one is given back. */
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets.add(new ServerSocket(0));
+            }
+            return sockets.stream().map(ServerSocket::getLocalPort).toList();
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
         }
     }
 
