--- a/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/WarmUpCommand.java
@@ -8,6 +8,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.wigeonferry.core_types.HostAddress;
@@ -25,6 +27,7 @@
  */
 final class WarmUpCommand {
     private static final String LOOPBACK = "127.0.0.1";
+    private static final int LISTENING_PORTS = 4;
 
     /** Time in which timers load their classes. */
     private static final Duration TIMERS = Duration.ofMillis(1200);
@@ -49,9 +52,10 @@
         StoreStandIn store = new StoreStandIn();
         ScriptedUpstream upstream = new ScriptedUpstream(WarmUpCommand::answer);
         WarmUpFixture.putRows(store::put, new HostAddress(LOOPBACK, upstream.port()));
-        int callers = freePort();
-        int ready = freePort();
-        Path settings = settings(callers, ready, store.address());
+        List<Integer> ports = freePorts(LISTENING_PORTS);
+        int callers = ports.get(0);
+        int ready = ports.get(1);
+        Path settings = settings(ports, store.address());
         CompletableFuture.runAsync(() -> rehearse(callers, ready));
         return DaemonCommands.router().run(new String[] {"--config", settings.toString()});
     }
@@ -107,25 +111,38 @@
                 .join();
     }
 
-    private static Path settings(int callers, int ready, HostAddress store)
-            throws StepException, IOException {
+    /**
+     * Writes the settings of the router.
+     *
+     * @param ports where it listens: for callers, readiness, metrics and peers
+     */
+    private static Path settings(List<Integer> ports, HostAddress store) throws IOException {
         String text =
                 String.format(
                         "[node]%nname=warm-up%navailability-zone=z%n"
                                 + "[listen]%ncallers=127.0.0.1:%d%nready=127.0.0.1:%d%n"
                                 + "metrics=127.0.0.1:%d%npeers=127.0.0.1:%d%n[store]%naddress=%s%n"
                                 + "[limits]%nretry-extra=50%n",
-                        callers, ready, freePort(), freePort(), store);
+                        ports.get(0), ports.get(1), ports.get(2), ports.get(3), store);
         Path file = Files.createTempFile("warm-up", ".ini");
         file.toFile().deleteOnExit();
         return Files.writeString(file, text);
     }
 
-    private static int freePort() throws StepException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /** Ports that differ, as all are taken before one is given back. */
+    private static List<Integer> freePorts(int count) throws StepException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+            }
+            List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+            return ports;
         } catch (IOException e) {
-            throw new StepException("find a free port", LOOPBACK, e);
+            throw new StepException("find free ports", LOOPBACK, e);
         }
     }
 }
