--- a/command_line/src/test/java/org/wigeonferry/command_line/RollOutFailureTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/RollOutFailureTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.wigeonferry.core_types.StepException;
 
@@ -29,6 +30,7 @@
     }
 
     @Test
+    @Tag("known-red")
     void goodVersionReachesAllRequestsThoughItsDriverIsKilled() throws StepException {
         harness.apply(0, DemoNotes.rollOut(harness.plan(), "small-2", 20));
         CompletableFuture<List<DemoOutcome>> load = harness.chats(700, PACE, "small", 1, 2);
