--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -128,13 +128,20 @@
         LOG.warn("store does not answer");
     }
 
-    /** Adds an upstream, or updates it; logs if it is new or its draining state changed. */
+    /**
+     * Adds an upstream, or updates it; logs if it is a new incarnation or its draining state
+     * changed.
+     */
     public void onUpstream(UpstreamInstance upstream) {
         Optional<UpstreamInstance> before = state.upstreams().upstream(upstream.id());
         state.upstreams().put(upstream, control.nanoTime());
-        if (before.isEmpty() || before.get().draining() != upstream.draining()) {
+        boolean newIncarnation =
+                before.filter(known -> known.incarnation().equals(upstream.incarnation()))
+                        .isEmpty();
+        if (newIncarnation || before.get().draining() != upstream.draining()) {
             LOG.atInfo()
                     .addKeyValue("upstream", upstream.id())
+                    .addKeyValue("started_ms", upstream.incarnation().startMillis())
                     .addKeyValue("peer", upstream.address())
                     .addKeyValue("service", upstream.service())
                     .addKeyValue("release", upstream.release())
