Treat an upstream as cold once its connections were lost, until it can't have started again unnoticed

Cause: the id that a request expects and the address are those of the process before, so until a router reads the new registration (up to 0.85 s later here, longer while the store doesn't answer) it sends as to a warm engine.

Change: PossibleRestart. A lost or refused connection may be the end of a process, so the cold rate binds until an answer to an older send shows that the process lives, or until a process that began by the first answer after the loss is warm. It needs no store, so it also binds routers that are cut from it.

--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -215,7 +215,7 @@
         service.waits(send.model()).record(elapsed.minus(Slowness.timeToProcess(send)));
         upstreams
                 .state(send.upstream().incarnation())
-                .ifPresent(state -> state.onHeadersOrEnd(send, load, nowNanos));
+                .ifPresent(state -> state.onHeaders(send, load, nowNanos));
     }
 
     /** Records the mean gap so far between the events of a running stream. */
@@ -228,13 +228,7 @@
         Send send = report.send();
         upstreams
                 .state(send.upstream().incarnation())
-                .ifPresent(
-                        state -> {
-                            if (!report.headersReceived()) {
-                                state.onHeadersOrEnd(send, Optional.empty(), nowNanos);
-                            }
-                            state.onSendEnd(report, nowNanos);
-                        });
+                .ifPresent(state -> state.onSendEnd(report, nowNanos));
         if (report.outcome() == SendOutcome.SILENT && !report.headersReceived()) {
             Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
             stateOf(send.upstream().service())
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -41,7 +41,7 @@
     void onConfigChange() {
         upstreamStates
                 .values()
-                .forEach(state -> state.setEngineTraits(engineTraits(state.instance())));
+                .forEach(state -> state.setServiceTraits(serviceTraits(state.instance())));
         enginePartitionCurrent = false;
     }
 
@@ -141,11 +141,11 @@
 
     private UpstreamState newState(UpstreamInstance upstream, long nowNanos) {
         UpstreamState state = new UpstreamState(upstream, nowNanos);
-        state.setEngineTraits(engineTraits(upstream));
+        state.setServiceTraits(serviceTraits(upstream));
         return state;
     }
 
-    private Optional<EngineTraits> engineTraits(UpstreamInstance upstream) {
-        return traits.apply(upstream.service()).flatMap(ServiceTraits::engine);
+    private Optional<ServiceTraits> serviceTraits(UpstreamInstance upstream) {
+        return traits.apply(upstream.service());
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -49,6 +49,8 @@
     private final int key;
     private UpstreamInstance instance;
     private long coldUntilNanos;
+    private final PossibleRestart possibleRestart;
+    private Duration coldDuration = Duration.ZERO;
     private Optional<EngineTraits> engineTraits = Optional.empty();
     private final PrefixCacheEstimate prefixCache =
             new PrefixCacheEstimate(DEFAULT_CAPACITY_TOKENS / 2);
@@ -70,6 +72,7 @@
         suspendedUntilNanos = nowNanos;
         lastSendNanos = nowNanos;
         coldUntilNanos = nowNanos + instance.coldTimeLeft().toNanos();
+        possibleRestart = new PossibleRestart(nowNanos);
     }
 
     /** Stands for the upstream in messages between routers. */
@@ -81,10 +84,11 @@
         return instance;
     }
 
-    /** Sets the engine traits; half of the token capacity counts as prefix cache. */
-    void setEngineTraits(Optional<EngineTraits> traits) {
-        engineTraits = traits;
-        int tokens = traits.map(EngineTraits::capacityTokens).orElse(DEFAULT_CAPACITY_TOKENS);
+    /** Sets the traits of the service; half of an engine's token capacity is its prefix cache. */
+    void setServiceTraits(Optional<ServiceTraits> traits) {
+        coldDuration = traits.map(ServiceTraits::coldDuration).orElse(Duration.ZERO);
+        engineTraits = traits.flatMap(ServiceTraits::engine);
+        int tokens = engineTraits.map(EngineTraits::capacityTokens).orElse(DEFAULT_CAPACITY_TOKENS);
         prefixCache.setCapacityTokens(tokens / 2);
     }
 
@@ -99,8 +103,9 @@
         }
     }
 
+    /** Whether the upstream is cold by its registration, or because it may have restarted. */
     boolean isCold(long nowNanos) {
-        return coldUntilNanos - nowNanos > 0;
+        return coldUntilNanos - nowNanos > 0 || possibleRestart.mayBeCold(nowNanos);
     }
 
     int sendsInLastSecond(long nowNanos) {
@@ -195,17 +200,17 @@
         return overtakingSends >= MIN_OVERTAKING_SENDS;
     }
 
-    /** Records that response headers of a send arrived, or that it ended without them. */
-    void onHeadersOrEnd(Send send, Optional<ReportedLoad> reportedLoad, long nowNanos) {
-        queuedTokens -= send.weightedUncachedTokens();
-        resolvedStartNanos.addLast(send.startNanos());
-        if (resolvedStartNanos.size() > MAX_RESOLVED_START_TIMES) {
-            resolvedStartNanos.removeFirst();
-        }
+    /** Records that response headers of a send arrived. */
+    void onHeaders(Send send, Optional<ReportedLoad> reportedLoad, long nowNanos) {
+        onResolved(send);
+        possibleRestart.onAnswer(send.startNanos(), coldDuration, nowNanos);
         reportedLoad.ifPresent(value -> recordLoad(value, nowNanos));
     }
 
     void onSendEnd(SendReport report, long nowNanos) {
+        if (!report.headersReceived()) {
+            onResolved(report.send());
+        }
         runningSends--;
         SendOutcome outcome = report.outcome();
         if (outcome == SendOutcome.ANSWERED) {
@@ -218,6 +223,16 @@
                 || outcome == SendOutcome.BROKEN
                 || outcome == SendOutcome.SILENT) {
             suspend(nowNanos);
+            possibleRestart.onLoss(nowNanos);
+        }
+    }
+
+    /** Records that the headers of a send arrived, or that it ended without them. */
+    private void onResolved(Send send) {
+        queuedTokens -= send.weightedUncachedTokens();
+        resolvedStartNanos.addLast(send.startNanos());
+        if (resolvedStartNanos.size() > MAX_RESOLVED_START_TIMES) {
+            resolvedStartNanos.removeFirst();
         }
     }
 
--- /dev/null
+++ b/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
@@ -0,0 +1,125 @@
+package org.wigeonferry.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** An upstream that started again under its id got requests as if it were still warm. */
+class RestartedUpstreamFloodedTest {
+    private static final long NOW_NANOS = 100 * Fixtures.NANOS_PER_SECOND;
+
+    /** The rate of a cold upstream of the service, of which there is only this router. */
+    private static final int COLD_RATE = 4;
+
+    private static final int COLD_MILLIS = 3000;
+
+    private final RoutingState state = Fixtures.state(Fixtures.config(7), NOW_NANOS);
+    private long nowNanos = NOW_NANOS;
+    private int nextRequest;
+
+    @BeforeEach
+    void addWarmUpstream() {
+        state.upstreams().put(incarnation(1, 0), nowNanos);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"BROKEN", "NOT_SENT", "SILENT"})
+    void lostConnectionMayBeARestart(SendOutcome outcome) {
+        end(send().orElseThrow(), outcome);
+        passMillis(1000);
+        assertThat(sendsOf(20)).isEqualTo(COLD_RATE);
+    }
+
+    @Test
+    void restartedUpstreamStaysColdForAWhileAfterItsFirstAnswer() {
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(1000);
+        answer(send().orElseThrow());
+        passMillis(COLD_MILLIS - 100);
+        assertThat(sendsOf(20)).isEqualTo(COLD_RATE);
+        passMillis(1100);
+        assertThat(sendsOf(20)).isEqualTo(20);
+    }
+
+    @Test
+    void answerToARequestFromBeforeTheLossShowsThatTheProcessLives() {
+        Send older = send().orElseThrow();
+        passMillis(10);
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(1000);
+        answer(older);
+        assertThat(sendsOf(20)).isEqualTo(20);
+    }
+
+    @Test
+    void answerThatWasOnItsWayAtTheLossShowsNothing() {
+        Send older = send().orElseThrow();
+        passMillis(10);
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(20);
+        answer(older);
+        passMillis(1000);
+        assertThat(sendsOf(20)).isEqualTo(COLD_RATE);
+    }
+
+    @Test
+    void answerOfTheNewProcessDoesNotStandForTheOldOne() {
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(1000);
+        Send toNewProcess = send().orElseThrow();
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(500);
+        answer(toNewProcess);
+        passMillis(1000);
+        assertThat(sendsOf(20)).isEqualTo(COLD_RATE);
+    }
+
+    private static UpstreamInstance incarnation(long startMillis, int coldMillis) {
+        UpstreamInstance first = Fixtures.upstream("a", "model", "v1", coldMillis);
+        return new UpstreamInstance(
+                new Incarnation("a", startMillis),
+                first.address(),
+                first.service(),
+                first.zone(),
+                first.release(),
+                first.slots(),
+                first.draining(),
+                first.coldTimeLeft());
+    }
+
+    private void passMillis(int millis) {
+        nowNanos += Duration.ofMillis(millis).toNanos();
+        Fixtures.confirmConfig(state, nowNanos);
+    }
+
+    private int sendsOf(int requests) {
+        int sends = 0;
+        for (int i = 0; i < requests; i++) {
+            sends += send().isPresent() ? 1 : 0;
+        }
+        return sends;
+    }
+
+    private Optional<Send> send() {
+        nextRequest++;
+        RoutedRequest request = Fixtures.request("chat", "id" + nextRequest, Optional.empty());
+        Job job = Fixtures.admit(state, request, nowNanos);
+        return Optional.of(Fixtures.place(state, job, nowNanos))
+                .filter(Send.class::isInstance)
+                .map(Send.class::cast);
+    }
+
+    private void answer(Send send) {
+        state.onResponseHeaders(send, Optional.empty(), nowNanos);
+    }
+
+    private void end(Send send, SendOutcome outcome) {
+        Job job = Fixtures.admit(state, Fixtures.request("chat"), nowNanos);
+        state.onSendEnd(job, "content", Fixtures.reportWithoutHeaders(send, outcome), nowNanos);
+    }
+}
