Count sends to an upstream's earlier incarnations in the first second of a new one

Change: the count is kept by id, also over a removal and a new registration, until its sends have left the window.

RestartedUpstreamFloodedTest.sendsBeforeTheNewRegistrationCountInItsFirstSecond: 2 of 2 red before (7 sends instead of 4).

--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -20,6 +20,10 @@
     private final Function<String, Optional<ServiceTraits>> traits;
     private final Map<String, UpstreamState> upstreamStates = new HashMap<>();
     private final Map<String, Long> removalNanosById = new HashMap<>();
+
+    /** Also of upstreams that are gone, until their last sends have left the window. */
+    private final Map<String, SlidingWindowCounter> recentSendsById = new HashMap<>();
+
     private final UpstreamNotices notices = new UpstreamNotices();
     private final EnginePartition enginePartition = new EnginePartition();
     private boolean enginePartitionCurrent;
@@ -78,6 +82,12 @@
 
     /** Removes the upstreams whose removal was put off, if their grace period is over. */
     public void removeExpired(long nowNanos) {
+        recentSendsById
+                .entrySet()
+                .removeIf(
+                        entry ->
+                                !upstreamStates.containsKey(entry.getKey())
+                                        && entry.getValue().count(nowNanos) == 0);
         removalNanosById
                 .entrySet()
                 .removeIf(
@@ -140,7 +150,11 @@
     }
 
     private UpstreamState newState(UpstreamInstance upstream, long nowNanos) {
-        UpstreamState state = new UpstreamState(upstream, nowNanos);
+        SlidingWindowCounter recentSends =
+                recentSendsById.computeIfAbsent(
+                        upstream.id(),
+                        id -> new SlidingWindowCounter(UpstreamState.COLD_RATE_WINDOW));
+        UpstreamState state = new UpstreamState(upstream, recentSends, nowNanos);
         state.setServiceTraits(serviceTraits(upstream));
         return state;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -32,7 +32,7 @@
     private static final Duration REPORTED_LOAD_TTL = Duration.ofSeconds(1);
 
     /** Window of the count of sends that the limit for cold upstreams applies to. */
-    private static final Duration COLD_RATE_WINDOW = Duration.ofSeconds(1);
+    static final Duration COLD_RATE_WINDOW = Duration.ofSeconds(1);
 
     /** A send counts as overtaken by each resolved send that started more than this later. */
     private static final Duration MIN_OVERTAKING_LAG = Duration.ofMillis(300);
@@ -54,7 +54,7 @@
     private Optional<EngineTraits> engineTraits = Optional.empty();
     private final PrefixCacheEstimate prefixCache =
             new PrefixCacheEstimate(DEFAULT_CAPACITY_TOKENS / 2);
-    private final SlidingWindowCounter recentSends = new SlidingWindowCounter(COLD_RATE_WINDOW);
+    private final SlidingWindowCounter recentSends;
     private final SlidingWindowCounter sendsForRateLimit =
             new SlidingWindowCounter(RequestRateLimit.WINDOW);
     private long lastSendNanos;
@@ -66,9 +66,16 @@
     private Optional<ReportedLoad> lastLoad = Optional.empty();
     private long lastLoadNanos;
 
-    UpstreamState(UpstreamInstance instance, long nowNanos) {
+    /**
+     * Creates the state of an incarnation that nothing was sent to.
+     *
+     * @param recentSends counts the sends to all incarnations of the upstream, as a router may have
+     *     sent to this one before it knew of it
+     */
+    UpstreamState(UpstreamInstance instance, SlidingWindowCounter recentSends, long nowNanos) {
         key = Hashes.key(instance.id());
         this.instance = instance;
+        this.recentSends = recentSends;
         suspendedUntilNanos = nowNanos;
         lastSendNanos = nowNanos;
         coldUntilNanos = nowNanos + instance.coldTimeLeft().toNanos();
--- a/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** An upstream that started again under its id got requests as if it were still warm. */
 class RestartedUpstreamFloodedTest {
@@ -79,6 +80,21 @@
         assertThat(sendsOf(20)).isEqualTo(COLD_RATE);
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void sendsBeforeTheNewRegistrationCountInItsFirstSecond(boolean removedBefore) {
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(1000);
+        int sent = sendsOf(3);
+        passMillis(300);
+        if (removedBefore) {
+            state.upstreams().remove("a", nowNanos);
+            state.upstreams().removeExpired(nowNanos);
+        }
+        state.upstreams().put(incarnation(2, COLD_MILLIS), nowNanos);
+        assertThat(sent + sendsOf(20)).isEqualTo(COLD_RATE);
+    }
+
     private static UpstreamInstance incarnation(long startMillis, int coldMillis) {
         UpstreamInstance first = Fixtures.upstream("a", "model", "v1", coldMillis);
         return new UpstreamInstance(
--- a/routing/src/test/java/org/wigeonferry/routing/SilenceRuleTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SilenceRuleTest.java
@@ -49,7 +49,11 @@
 
     @Test
     void pauseThatTheRouteAllowsIsNoStall() {
-        UpstreamState engine = new UpstreamState(Fixtures.upstream("e", "model"), START_NANOS);
+        UpstreamState engine =
+                new UpstreamState(
+                        Fixtures.upstream("e", "model"),
+                        new SlidingWindowCounter(UpstreamState.COLD_RATE_WINDOW),
+                        START_NANOS);
         Duration allowed = chat.maxEventGap();
         assertThat(isStalled(engine, allowed)).isFalse();
         assertThat(isStalled(engine, allowed.multipliedBy(2))).isFalse();
