Ignore a late registration of an incarnation that another one has replaced

The old incarnation, which was warm, then stood in for the new, cold one until its next registration, and what the new one had announced was dropped.

Change: UpstreamHistory remembers for ten seconds which incarnation was replaced. No start times are compared, as clocks may jump.

RestartedUpstreamFloodedTest.lateRegistrationOfTheOldProcessDoesNotReplaceTheNewOne: red before.

--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -134,7 +134,13 @@
      */
     public void onUpstream(UpstreamInstance upstream) {
         Optional<UpstreamInstance> before = state.upstreams().upstream(upstream.id());
-        state.upstreams().put(upstream, control.nanoTime());
+        if (!state.upstreams().put(upstream, control.nanoTime())) {
+            LOG.atInfo()
+                    .addKeyValue("upstream", upstream.id())
+                    .addKeyValue("started_ms", upstream.incarnation().startMillis())
+                    .log("late registration ignored");
+            return;
+        }
         boolean newIncarnation =
                 before.filter(known -> known.incarnation().equals(upstream.incarnation()))
                         .isEmpty();
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -21,8 +21,8 @@
     private final Map<String, UpstreamState> upstreamStates = new HashMap<>();
     private final Map<String, Long> removalNanosById = new HashMap<>();
 
-    /** Also of upstreams that are gone, until their last sends have left the window. */
-    private final Map<String, SlidingWindowCounter> recentSendsById = new HashMap<>();
+    /** Also of upstreams that are gone, for a while. */
+    private final Map<String, UpstreamHistory> histories = new HashMap<>();
 
     private final UpstreamNotices notices = new UpstreamNotices();
     private final EnginePartition enginePartition = new EnginePartition();
@@ -56,18 +56,28 @@
                 .forEach(state -> state.recordPrompt(prompt.model(), prompt.parts()));
     }
 
-    /** Adds an upstream, or updates a known one; a new incarnation replaces the old one. */
-    public void put(UpstreamInstance upstream, long nowNanos) {
+    /**
+     * Adds an upstream, or updates a known one; a new incarnation replaces the old one.
+     *
+     * @return false, with no change, for an incarnation that was just replaced by another one
+     */
+    public boolean put(UpstreamInstance upstream, long nowNanos) {
+        UpstreamHistory history =
+                histories.computeIfAbsent(upstream.id(), id -> new UpstreamHistory());
+        if (!history.register(upstream.incarnation(), nowNanos)) {
+            return false;
+        }
         UpstreamState state = upstreamStates.get(upstream.id());
         removalNanosById.remove(upstream.id());
         if (state == null || !state.instance().incarnation().equals(upstream.incarnation())) {
-            upstreamStates.put(upstream.id(), newState(upstream, nowNanos));
+            upstreamStates.put(upstream.id(), newState(upstream, history, nowNanos));
             notices.onIncarnation(upstream.incarnation());
             enginePartitionCurrent = false;
-            return;
+            return true;
         }
         enginePartitionCurrent &= state.instance().draining() == upstream.draining();
         state.updateInstance(upstream, nowNanos);
+        return true;
     }
 
     /** Removes an upstream, either now or at the end of a grace period that has begun. */
@@ -82,12 +92,12 @@
 
     /** Removes the upstreams whose removal was put off, if their grace period is over. */
     public void removeExpired(long nowNanos) {
-        recentSendsById
+        histories
                 .entrySet()
                 .removeIf(
                         entry ->
                                 !upstreamStates.containsKey(entry.getKey())
-                                        && entry.getValue().count(nowNanos) == 0);
+                                        && entry.getValue().isObsolete(nowNanos));
         removalNanosById
                 .entrySet()
                 .removeIf(
@@ -149,12 +159,9 @@
         return state(upstream.incarnation()).map(UpstreamState::lastKnownRunning).orElse(0);
     }
 
-    private UpstreamState newState(UpstreamInstance upstream, long nowNanos) {
-        SlidingWindowCounter recentSends =
-                recentSendsById.computeIfAbsent(
-                        upstream.id(),
-                        id -> new SlidingWindowCounter(UpstreamState.COLD_RATE_WINDOW));
-        UpstreamState state = new UpstreamState(upstream, recentSends, nowNanos);
+    private UpstreamState newState(
+            UpstreamInstance upstream, UpstreamHistory history, long nowNanos) {
+        UpstreamState state = new UpstreamState(upstream, history.recentSends(), nowNanos);
         state.setServiceTraits(serviceTraits(upstream));
         return state;
     }
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamHistory.java
@@ -0,0 +1,56 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * What is known of an upstream beyond its present incarnation: the sends of the last second, and
+ * which incarnation replaced which.
+ *
+ * <p>Owned by the control thread.
+ */
+final class UpstreamHistory {
+    /**
+     * How long after its replacement an incarnation may still be registered by a write that was
+     * delayed on its way to the store.
+     */
+    private static final Duration MAX_WRITE_DELAY = Duration.ofSeconds(10);
+
+    private final SlidingWindowCounter recentSends =
+            new SlidingWindowCounter(UpstreamState.COLD_RATE_WINDOW);
+    private Optional<Incarnation> current = Optional.empty();
+    private Optional<Incarnation> replaced = Optional.empty();
+    private long replacedNanos;
+    private long registeredNanos;
+
+    /** Counts the sends of the last second to all incarnations. */
+    SlidingWindowCounter recentSends() {
+        return recentSends;
+    }
+
+    /**
+     * Records that a registration was read; false, with no change, if it is a late one of an
+     * incarnation that another one has replaced.
+     */
+    boolean register(Incarnation incarnation, long nowNanos) {
+        boolean isLate =
+                replaced.equals(Optional.of(incarnation))
+                        && nowNanos - replacedNanos < MAX_WRITE_DELAY.toNanos();
+        if (isLate) {
+            return false;
+        }
+        if (current.isPresent() && !current.get().equals(incarnation)) {
+            replaced = current;
+            replacedNanos = nowNanos;
+        }
+        current = Optional.of(incarnation);
+        registeredNanos = nowNanos;
+        return true;
+    }
+
+    /** Whether nothing of an upstream that is gone is needed any more. */
+    boolean isObsolete(long nowNanos) {
+        return recentSends.count(nowNanos) == 0
+                && nowNanos - registeredNanos >= MAX_WRITE_DELAY.toNanos();
+    }
+}
--- a/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
@@ -95,6 +95,15 @@
         assertThat(sent + sendsOf(20)).isEqualTo(COLD_RATE);
     }
 
+    @Test
+    void lateRegistrationOfTheOldProcessDoesNotReplaceTheNewOne() {
+        state.upstreams().put(incarnation(2, COLD_MILLIS), nowNanos);
+        passMillis(500);
+        state.upstreams().put(incarnation(1, 0), nowNanos);
+        assertThat(sendsOf(20)).isEqualTo(COLD_RATE);
+        assertThat(state.upstreams().upstream("a")).contains(incarnation(2, COLD_MILLIS));
+    }
+
     private static UpstreamInstance incarnation(long startMillis, int coldMillis) {
         UpstreamInstance first = Fixtures.upstream("a", "model", "v1", coldMillis);
         return new UpstreamInstance(
