--- a/command_line/src/main/java/org/wigeonferry/command_line/AdminClient.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/AdminClient.java
@@ -57,6 +57,7 @@
                                 r ->
                                         new JsonResponse(
                                                 r.getStatus(),
+                                                r.getHeaders().asImmutable(),
                                                 JsonHttpClient.parseJson(r.getContentAsString()))));
     }
 
--- a/platform_clients/src/main/java/org/wigeonferry/platform_clients/JsonHttpClient.java
+++ b/platform_clients/src/main/java/org/wigeonferry/platform_clients/JsonHttpClient.java
@@ -106,6 +106,9 @@
     }
 
     private static JsonResponse toResponse(ContentResponse response) {
-        return new JsonResponse(response.getStatus(), parseJson(response.getContentAsString()));
+        return new JsonResponse(
+                response.getStatus(),
+                response.getHeaders().asImmutable(),
+                parseJson(response.getContentAsString()));
     }
 }
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/StoreStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/StoreStandIn.java
@@ -43,6 +43,7 @@
     private final Server server;
     private long version = 10;
     private long oldest;
+    private long era = 1;
     private int refusals;
     private int lostAnswers;
     private int calls;
@@ -96,6 +97,24 @@
         history.clear();
     }
 
+    /** All that the store holds now. */
+    public synchronized StoreCopy copy() {
+        return new StoreCopy(rows, history, version, oldest);
+    }
+
+    /** Goes back to a copy, as a new era; open questions get no answer. */
+    public synchronized void restore(StoreCopy copy) {
+        rows.clear();
+        rows.putAll(copy.rows());
+        history.clear();
+        history.addAll(copy.history());
+        version = copy.version();
+        oldest = copy.oldest();
+        era++;
+        waiting.forEach(question -> question.callback().failed(new IOException("store away")));
+        waiting.clear();
+    }
+
     /** Writes a row. */
     public synchronized void put(String table, String key, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
@@ -140,7 +159,7 @@
             return false;
         }
         refusals--;
-        Replies.sendJson(response, callback, 503, JsonHttpClient.newObject());
+        reply(response, callback, 503, JsonHttpClient.newObject());
         return true;
     }
 
@@ -158,7 +177,7 @@
                         .toList();
         ObjectNode body = answer(found.subList(0, Math.min(PAGE, found.size())));
         body.put("truncated", found.size() > PAGE);
-        Replies.sendJson(response, callback, 200, body);
+        reply(response, callback, 200, body);
     }
 
     private synchronized void feed(Request request, Response response, Callback callback) {
@@ -171,15 +190,15 @@
             return;
         }
         long after = Long.parseLong(query.getValue("after_rev"));
-        if (after < oldest) {
-            Replies.sendJson(response, callback, 410, JsonHttpClient.newObject());
+        if (after < oldest || after > version) {
+            reply(response, callback, 410, JsonHttpClient.newObject());
             return;
         }
         long wait = Math.min(LONGEST_WAIT_MILLIS, Long.parseLong(query.getValue("wait_ms")));
         WaitingQuestion question =
                 new WaitingQuestion(query.getValue("table"), after, response, callback);
         if (wait == 0 || closing || !changes(question).isEmpty()) {
-            Replies.sendJson(response, callback, 200, answer(changes(question)));
+            reply(response, callback, 200, answer(changes(question)));
             return;
         }
         waiting.add(question);
@@ -189,7 +208,7 @@
     private synchronized void answerNow(WaitingQuestion question) {
         if (waiting.remove(question)) {
             ObjectNode body = answer(changes(question));
-            Replies.sendJson(question.response(), question.callback(), 200, body);
+            reply(question.response(), question.callback(), 200, body);
         }
     }
 
@@ -231,7 +250,7 @@
             ObjectNode row = rows.get(name(expected));
             long actual = row == null ? 0 : row.path("ver").asLong();
             if (actual != expected.path("ver").asLong()) {
-                Replies.sendJson(response, callback, 412, answer(List.of()));
+                reply(response, callback, 412, answer(List.of()));
                 return;
             }
         }
@@ -246,7 +265,12 @@
             callback.failed(new IOException("answer lost"));
             return;
         }
-        Replies.sendJson(response, callback, 200, answer(List.of()));
+        reply(response, callback, 200, answer(List.of()));
+    }
+
+    private void reply(Response response, Callback callback, int status, ObjectNode body) {
+        response.getHeaders().put("Store-Era", era);
+        Replies.sendJson(response, callback, status, body);
     }
 
     private static String name(JsonNode row) {
