--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -17,28 +17,15 @@
  * the control thread.
  */
 public final class RollOutTracker {
-    /**
-     * Fraction of a roll-out's duration before which no session moves to the new release. Sessions
-     * must not move in the first half, and another router may just have served the session on the
-     * old release, so this is slightly above one half.
-     */
-    private static final double MIN_ELAPSED_TO_MOVE_SESSIONS = 0.52;
-
-    /**
-     * Share of sessions selected to move, as a multiple of the exposure share. Above 1, so that the
-     * second half makes up for the first, in which no session moves.
-     */
-    private static final double SELECTED_SESSIONS_FACTOR = 1.5;
-
-    private final RoutingLimits limits;
     private final SessionPins pins;
     private final ReleaseEvidenceLog evidenceLog = new ReleaseEvidenceLog();
     private final RollOutRecord record = new RollOutRecord();
+    private final ReleaseRules releaseRules;
     private boolean storedRecordRead;
 
     RollOutTracker(RoutingLimits limits) {
-        this.limits = limits;
         pins = new SessionPins(limits.sessionTtl());
+        releaseRules = new ReleaseRules(limits, record, evidenceLog, pins);
     }
 
     /**
@@ -184,58 +171,7 @@
      * @param routerCount routers among which the exposure of a new release is divided
      */
     List<UpstreamRule> upstreamRules(Job job, int routerCount, long nowNanos) {
-        Optional<RollOut> newest = record.order(job.service());
-        if (newest.isEmpty()) {
-            return rulesWithoutOrder(job.service());
-        }
-        RollOut order = newest.get();
-        String newRelease = order.release();
-        UpstreamRule onlyNew = UpstreamRules.ofRelease(newRelease);
-        UpstreamRule onlyOld = UpstreamRules.notOfRelease(newRelease);
-        Optional<RollOutState> state = state(order);
-        if (state.equals(Optional.of(RollOutState.COMPLETED))) {
-            return List.of(onlyNew, onlyOld);
-        }
-        if (!storedRecordRead
-                || state.equals(Optional.of(RollOutState.ROLLED_BACK))
-                || isShownBad(order)) {
-            return List.of(onlyOld);
-        }
-        Optional<TrafficMove> move = record.moveOf(order);
-        // Only sessions move early: a request without one needs no cached prompt.
-        boolean moves = move.isPresent() && job.sessionId().isPresent();
-        if (!moves && !mayExposeMore(order, routerCount, nowNanos)) {
-            return List.of(onlyOld);
-        }
-        Optional<String> pinned =
-                job.sessionId()
-                        .flatMap(session -> pins.releaseOf(job.service(), session, nowNanos));
-        // Requests without a session can't meet both releases in one.
-        if (job.sessionId().isEmpty()) {
-            return LoadPulses.isOn(order, limits.exposureShare(), nowNanos)
-                    ? List.of(onlyNew, onlyOld)
-                    : List.of(onlyOld, onlyNew);
-        }
-        boolean mayMove =
-                move.isPresent()
-                        || elapsedFraction(order, nowNanos) >= MIN_ELAPSED_TO_MOVE_SESSIONS;
-        if (pinned.filter(newRelease::equals).isPresent()
-                || (mayMove && isSelectedToMove(order, move, job, nowNanos))) {
-            return List.of(onlyNew, onlyOld);
-        }
-        return mayMove || pinned.isEmpty() ? List.of(onlyOld, onlyNew) : List.of(onlyOld);
-    }
-
-    /**
-     * The upstreams of a release that was rolled back may still be there when its order is gone.
-     */
-    private List<UpstreamRule> rulesWithoutOrder(String service) {
-        UpstreamRule any = (upstream, j, t) -> true;
-        Optional<String> rolledBack = record.rolledBackRelease(service);
-        if (rolledBack.isEmpty()) {
-            return List.of(any);
-        }
-        return List.of(UpstreamRules.notOfRelease(rolledBack.get()), any);
+        return releaseRules.of(job, storedRecordRead, routerCount, nowNanos);
     }
 
     void onSend(Send send, Job job, long nowNanos) {
@@ -272,29 +208,4 @@
     private Optional<RollOut> orderOf(Send send) {
         return record.order(send.upstream().service());
     }
-
-    /** Selects by hash, so that all routers that a session may reach agree. */
-    private boolean isSelectedToMove(
-            RollOut order, Optional<TrafficMove> move, Job job, long nowNanos) {
-        String name = job.sessionId().orElse(job.request().id());
-        double movedShare =
-                move.map(m -> TrafficMoveSchedule.movedShare(order, m, nowNanos)).orElse(0.0);
-        return Hashes.fraction(name + '#' + order.revision())
-                < Math.max(movedShare, SELECTED_SESSIONS_FACTOR * limits.exposureShare());
-    }
-
-    /** Whether this router may send more requests to the new release before the move. */
-    private boolean mayExposeMore(RollOut order, int routerCount, long nowNanos) {
-        if (elapsedFraction(order, nowNanos) >= 1) {
-            return false;
-        }
-        RollOutEvidence evidence = evidenceLog.own(order.service());
-        return evidence.fresh().sends()
-                < limits.exposureShare() * evidence.sends()
-                        + limits.extraExposedSends() / routerCount;
-    }
-
-    private static double elapsedFraction(RollOut order, long nowNanos) {
-        return (double) order.elapsed(nowNanos).toNanos() / order.duration().toNanos();
-    }
 }
