Let roll-outs go on after the store has lost their rows, and write their states again

Operators saw no state of a roll-out any more after a restore, and callers would have met a release again that had been rolled back.

Cause: an order was known by the version of its row, states and moves that were gone from the store counted as stored.

A final state holds whatever the store has lost, until another order, and is written again until the store holds it for the order. Removed rows of states and moves are no longer expected by conditional writes. Routers report at once after a restore. Sessions are selected to move by release instead of by version, so that the selection stays.

--- a/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
+++ b/router/src/main/java/org/wigeonferry/router/ReportSchedule.java
@@ -28,8 +28,14 @@
 
     private int checkCount;
     private int checksSinceReport;
+    private boolean reportRequested;
     private Map<String, ReleaseEvidence> publishedEvidence = Map.of();
 
+    /** Makes a report due at the next check, as the last one may be lost. */
+    void requestReport() {
+        reportRequested = true;
+    }
+
     /**
      * Whether a report is due at this check; it then counts as published.
      *
@@ -61,9 +67,10 @@
                                                         decisionNear));
         boolean periodPassed = checkCount % CHECKS_PER_PERIODIC_REPORT == 0;
         checkCount++;
-        if (!crashesAreNews && !evidenceChanged && !periodPassed) {
+        if (!reportRequested && !crashesAreNews && !evidenceChanged && !periodPassed) {
             return false;
         }
+        reportRequested = false;
         checksSinceReport = 0;
         publishedEvidence = evidence;
         return true;
--- a/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
+++ b/router/src/main/java/org/wigeonferry/router/RollOutMonitor.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonferry.routing.ReleaseEvidence;
@@ -105,6 +106,22 @@
                 .log("report of an earlier incarnation");
     }
 
+    /** Records that the store holds no status of a service's roll-out. */
+    public void onStatusRemoved(String service) {
+        rollOuts.removeStatus(service);
+    }
+
+    /** Records that the store holds no traffic move of a service. */
+    public void onTrafficMoveRemoved(String service) {
+        rollOuts.removeMove(service);
+    }
+
+    /** Records that the store has come back from an older copy. */
+    void onStoreRestored(long nowNanos) {
+        rollOuts.onStoreRestored(nowNanos);
+        settling.onStoreRecovered(nowNanos);
+    }
+
     /** Records that the store answers again after an outage. */
     void onStoreRecovered(long nowNanos) {
         settling.onStoreRecovered(nowNanos);
@@ -120,6 +137,12 @@
             rollOuts.nextState(rollOut, nowNanos)
                     .filter(next -> mayReport(rollOut, next, nowNanos))
                     .ifPresent(next -> report(rollOut, next, nowNanos));
+            rollOuts.lostMove(rollOut)
+                    .ifPresent(
+                            move ->
+                                    reporters
+                                            .moves()
+                                            .report(rollOut, Optional.of(move), move.startNanos()));
             if (settling.isSettled(nowNanos) && rollOuts.shouldStartMove(rollOut, nowNanos)) {
                 reporters.moves().report(rollOut, rollOuts.move(rollOut.service()), nowNanos);
             }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -128,6 +128,13 @@
         LOG.warn("store does not answer");
     }
 
+    /** Records that the store has come back from an older copy, which its rows show from now on. */
+    public void onStoreRestored() {
+        rollOutMonitor.onStoreRestored(control.nanoTime());
+        reportSchedule.requestReport();
+        LOG.warn("store restored from an older copy");
+    }
+
     /**
      * Adds an upstream, or updates it; logs if it is a new incarnation or its draining state
      * changed.
--- a/router/src/main/java/org/wigeonferry/router/TrafficMoveReporter.java
+++ b/router/src/main/java/org/wigeonferry/router/TrafficMoveReporter.java
@@ -15,8 +15,8 @@
     /**
      * Writes the move, unless another router changed the stored one.
      *
-     * @param nowNanos start of the move, on the monotonic clock
      * @param known the stored move that this router knows; empty if there is none
+     * @param startNanos start of the move, on the monotonic clock
      */
-    void report(RollOut rollOut, Optional<TrafficMove> known, long nowNanos);
+    void report(RollOut rollOut, Optional<TrafficMove> known, long startNanos);
 }
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseEvidenceLog.java
@@ -1,8 +1,10 @@
 package org.wigeonferry.routing;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -32,7 +34,7 @@
     private final Map<String, RollOutEvidence> ownEvidence = new HashMap<>();
 
     /** What this router had reported before it was restarted, by service. */
-    private Map<String, RollOutEvidence> restoredEvidence = Map.of();
+    private final Map<String, RollOutEvidence> restoredEvidence = new HashMap<>();
 
     /** The release that is rolled out, by service. */
     private final Map<String, String> newReleases = new HashMap<>();
@@ -53,6 +55,21 @@
                 new RollOutEvidence(order.revision(), ReleaseEvidence.NONE, ReleaseEvidence.NONE));
     }
 
+    /** Keeps the evidence of an order that has another revision now. */
+    void onOrderRewritten(RollOut before, long revision) {
+        List<Map<String, RollOutEvidence>> all = new ArrayList<>(evidenceByPeer.values());
+        all.add(ownEvidence);
+        all.add(restoredEvidence);
+        all.forEach(
+                evidenceByService ->
+                        evidenceByService.computeIfPresent(
+                                before.service(),
+                                (service, evidence) ->
+                                        evidence.revision() == before.revision()
+                                                ? evidence.withRevision(revision)
+                                                : evidence));
+    }
+
     /** Drops the own evidence of a service. */
     void remove(String service) {
         forgetRunning(service);
@@ -61,7 +78,8 @@
 
     /** Sets what this router had reported before it was restarted. */
     void restoreOwn(Map<String, RollOutEvidence> evidence) {
-        restoredEvidence = Map.copyOf(evidence);
+        restoredEvidence.clear();
+        restoredEvidence.putAll(evidence);
     }
 
     /** Evidence counted by this router in all its incarnations, by service. */
--- a/routing/src/main/java/org/wigeonferry/routing/ReleaseRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReleaseRules.java
@@ -107,7 +107,7 @@
         String name = job.sessionId().orElse(job.request().id());
         double movedShare =
                 move.map(m -> TrafficMoveSchedule.movedShare(order, m, nowNanos)).orElse(0.0);
-        return Hashes.fraction(name + '#' + order.revision())
+        return Hashes.fraction(name + '#' + order.release())
                 < Math.max(movedShare, SELECTED_SESSIONS_FACTOR * limits.exposureShare());
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutEvidence.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutEvidence.java
@@ -11,6 +11,11 @@
  * @param old statistics of the old release
  */
 public record RollOutEvidence(long revision, ReleaseEvidence fresh, ReleaseEvidence old) {
+    /** Returns the same evidence for an order that has another revision now. */
+    RollOutEvidence withRevision(long newRevision) {
+        return new RollOutEvidence(newRevision, fresh, old);
+    }
+
     /** Requests sent to both releases. */
     public long sends() {
         return fresh.sends() + old.sends();
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -41,11 +41,23 @@
         return storedRecordRead;
     }
 
+    /**
+     * Records that the store has come back from an older copy, so that orders, states and moves may
+     * be lost until they are written again.
+     */
+    public void onStoreRestored(long nowNanos) {
+        record.onStoreRestored(nowNanos);
+    }
+
     /** Starts a roll-out, unless this order or a newer one is known. */
     public void onRollOutOrdered(RollOut order) {
+        Optional<RollOut> before = record.order(order.service());
         if (record.applyOrder(order)) {
             evidenceLog.start(order);
+            return;
         }
+        long revision = record.order(order.service()).orElseThrow().revision();
+        before.ifPresent(known -> evidenceLog.onOrderRewritten(known, revision));
     }
 
     /** Drops the order of a service and its evidence; the status stays. */
@@ -64,6 +76,21 @@
         record.applyStatus(status);
     }
 
+    /** Records that the store holds no status of a service. */
+    public void removeStatus(String service) {
+        record.removeStatus(service);
+    }
+
+    /** Records that the store holds no traffic move of a service. */
+    public void removeMove(String service) {
+        record.removeMove(service);
+    }
+
+    /** The traffic move of an order, if the store has lost it. */
+    public Optional<TrafficMove> lostMove(RollOut order) {
+        return record.lostMoveOf(order);
+    }
+
     /** Starts the move of a service's traffic; the first start of an order's move counts. */
     public void applyMove(TrafficMove move) {
         record.applyMove(move);
@@ -145,7 +172,7 @@
      */
     public Optional<RollOutState> nextState(RollOut order, long nowNanos) {
         if (isFinished(order)) {
-            return Optional.empty();
+            return record.isStateStored(order) ? Optional.empty() : state(order);
         }
         RollOutEvidence total = totalEvidence(order);
         if (RollOutCriteria.mustRollBack(total)) {
