Use no upstream again that was leaving before the store came back from an older copy

Change: an incarnation that is draining stays so, whatever a row says. One that was gone is held back if it is in the copy, until it registers again or its row has had six seconds to expire.

--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -130,6 +130,7 @@
 
     /** Records that the store has come back from an older copy, which its rows show from now on. */
     public void onStoreRestored() {
+        state.upstreams().onStoreRestored(control.nanoTime());
         rollOutMonitor.onStoreRestored(control.nanoTime());
         reportSchedule.requestReport();
         LOG.warn("store restored from an older copy");
@@ -145,7 +146,7 @@
             LOG.atInfo()
                     .addKeyValue("upstream", upstream.id())
                     .addKeyValue("started_ms", upstream.incarnation().startMillis())
-                    .log("late registration ignored");
+                    .log("old registration ignored");
             return;
         }
         boolean newIncarnation =
@@ -177,6 +178,7 @@
     /** Records that all upstreams have been read once. */
     public void onAllUpstreamsRead() {
         allUpstreamsRead = true;
+        state.upstreams().onAllRead();
     }
 
     /** Disables an availability zone, or enables it again. */
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -24,6 +24,7 @@
     /** Also of upstreams that are gone, for a while. */
     private final Map<String, UpstreamHistory> histories = new HashMap<>();
 
+    private final RestoredRegistrations restored = new RestoredRegistrations();
     private final UpstreamNotices notices = new UpstreamNotices();
     private final EnginePartition enginePartition = new EnginePartition();
     private boolean enginePartitionCurrent;
@@ -41,6 +42,16 @@
         graceEndNanos = nowNanos + gracePeriod.toNanos();
     }
 
+    /** Records that the store has come back from an older copy, whose rows are read next. */
+    public void onStoreRestored(long nowNanos) {
+        restored.onStoreRestored(nowNanos);
+    }
+
+    /** Records that all rows of upstreams have been read. */
+    public void onAllRead() {
+        restored.onAllRead();
+    }
+
     /** Applies changed service traits to all upstreams. */
     void onConfigChange() {
         upstreamStates
@@ -59,14 +70,28 @@
     /**
      * Adds an upstream, or updates a known one; a new incarnation replaces the old one.
      *
-     * @return false, with no change, for an incarnation that was just replaced by another one
+     * @return false, with no change, if the registration is an old one: of an incarnation that was
+     *     just replaced by another one, that is draining, or that was gone before the store came
+     *     back from an older copy
      */
     public boolean put(UpstreamInstance upstream, long nowNanos) {
         UpstreamHistory history =
                 histories.computeIfAbsent(upstream.id(), id -> new UpstreamHistory());
+        boolean isDraining =
+                upstream(upstream.id())
+                        .filter(UpstreamInstance::draining)
+                        .filter(known -> known.incarnation().equals(upstream.incarnation()))
+                        .isPresent();
+        if (isDraining && !upstream.draining()) {
+            return false;
+        }
+        if (history.isGone(upstream.incarnation()) && restored.holdBack(upstream)) {
+            return false;
+        }
         if (!history.register(upstream.incarnation(), nowNanos)) {
             return false;
         }
+        restored.remove(upstream.id());
         UpstreamState state = upstreamStates.get(upstream.id());
         removalNanosById.remove(upstream.id());
         if (state == null || !state.instance().incarnation().equals(upstream.incarnation())) {
@@ -82,16 +107,26 @@
 
     /** Removes an upstream, either now or at the end of a grace period that has begun. */
     public void remove(String id, long nowNanos) {
+        restored.remove(id);
         if (storeRecovered && graceEndNanos - nowNanos > 0) {
             removalNanosById.put(id, graceEndNanos);
             return;
         }
+        removeNow(id, nowNanos);
+    }
+
+    private void removeNow(String id, long nowNanos) {
         upstreamStates.remove(id);
         enginePartitionCurrent = false;
+        Optional.ofNullable(histories.get(id)).ifPresent(history -> history.remove(nowNanos));
     }
 
-    /** Removes the upstreams whose removal was put off, if their grace period is over. */
+    /**
+     * Removes the upstreams whose removal was put off, if their grace period is over, and adds
+     * those whose registration is no longer held back.
+     */
     public void removeExpired(long nowNanos) {
+        restored.takeExpired(nowNanos).forEach(upstream -> put(upstream, nowNanos));
         histories
                 .entrySet()
                 .removeIf(
@@ -104,8 +139,7 @@
                         entry -> {
                             boolean expired = entry.getValue() - nowNanos <= 0;
                             if (expired) {
-                                upstreamStates.remove(entry.getKey());
-                                enginePartitionCurrent = false;
+                                removeNow(entry.getKey(), nowNanos);
                             }
                             return expired;
                         });
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamHistory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamHistory.java
@@ -4,8 +4,8 @@
 import java.util.Optional;
 
 /**
- * What is known of an upstream beyond its present incarnation: the sends of the last second, and
- * which incarnation replaced which.
+ * What is known of an upstream beyond its present incarnation: the sends of the last second, which
+ * incarnation replaced which, and which one is gone.
  *
  * <p>Owned by the control thread.
  */
@@ -16,12 +16,27 @@
      */
     private static final Duration MAX_WRITE_DELAY = Duration.ofSeconds(10);
 
+    /** Older than any copy that the store comes back from. */
+    private static final Duration RETENTION = Duration.ofMinutes(1);
+
     private final SlidingWindowCounter recentSends =
             new SlidingWindowCounter(UpstreamState.COLD_RATE_WINDOW);
     private Optional<Incarnation> current = Optional.empty();
     private Optional<Incarnation> replaced = Optional.empty();
     private long replacedNanos;
-    private long registeredNanos;
+    private boolean removed;
+    private long lastChangeNanos;
+
+    /** Whether an incarnation was the last one when the upstream was removed. */
+    boolean isGone(Incarnation incarnation) {
+        return removed && current.equals(Optional.of(incarnation));
+    }
+
+    /** Records that the upstream was removed. */
+    void remove(long nowNanos) {
+        removed = true;
+        lastChangeNanos = nowNanos;
+    }
 
     /** Counts the sends of the last second to all incarnations. */
     SlidingWindowCounter recentSends() {
@@ -44,13 +59,14 @@
             replacedNanos = nowNanos;
         }
         current = Optional.of(incarnation);
-        registeredNanos = nowNanos;
+        removed = false;
+        lastChangeNanos = nowNanos;
         return true;
     }
 
     /** Whether nothing of an upstream that is gone is needed any more. */
     boolean isObsolete(long nowNanos) {
         return recentSends.count(nowNanos) == 0
-                && nowNanos - registeredNanos >= MAX_WRITE_DELAY.toNanos();
+                && nowNanos - lastChangeNanos >= RETENTION.toNanos();
     }
 }
