Let more answers show that an upstream lives, and bound how long it counts as possibly restarted

Change: the doubt ends six seconds after the last loss, by when a restart is registered or the registration has expired. Events of running streams, looked at each second, and ends of answers count as signs of life too, not heads alone.

RestartedUpstreamFloodedTest has three cases for it; the one of the router without a share fails without the bound.

--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -195,7 +195,7 @@
         }
     }
 
-    /** Tells the roll-outs how slow a stream is that has not ended. */
+    /** Records how slow a stream is that has not ended, and that its upstream still runs. */
     private void checkPace() {
         if (ended.get()) {
             return;
@@ -203,7 +203,7 @@
         if (completeEvents > 0) {
             long nanos = context.control().nanoTime() - firstByteNanos;
             Duration gap = Duration.ofNanos(nanos / completeEvents);
-            context.state().onStreamProgress(send, gap);
+            context.state().onStreamProgress(send, gap, lastProgressNanos);
         }
         context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
@@ -8,13 +8,21 @@
  *
  * <p>A process that ends loses its connections, and one that starts again has the same id and
  * address. So each lost connection counts as the end of a process, until an answer to a send from
- * before the loss shows that the process still runs, or until a process that started at the latest
- * at the first answer after the loss is no longer cold. Owned by the control thread.
+ * before the loss shows that the process still runs, until a process that started at the latest at
+ * the first answer after the loss is no longer cold, or until a restart would have been read from
+ * the store. Owned by the control thread.
  */
 final class PossibleRestart {
     /** Answers that arrive this soon after a loss may have been sent by a process that ended. */
     private static final Duration MAX_ANSWER_LAG = Duration.ofMillis(200);
 
+    /**
+     * By this time after a loss, an upstream has registered a restart, or has lost its registration
+     * because it is silent. Bounds how long a router is kept away that has no share in the rate of
+     * a cold upstream and so never sees an answer.
+     */
+    private static final Duration MAX_REGISTRATION_DELAY = Duration.ofSeconds(6);
+
     private boolean awaitsAnswer;
     private long firstLossNanos;
     private long lastLossNanos;
@@ -34,7 +42,7 @@
     }
 
     /**
-     * Records that the answer to a send has begun.
+     * Records that the answer to a send has begun, or that more of it has come.
      *
      * @param coldDuration how long an upstream of the service stays cold after its start
      */
@@ -57,6 +65,8 @@
 
     /** Whether the upstream may be cold because it started again. */
     boolean mayBeCold(long nowNanos) {
-        return awaitsAnswer || coldUntilNanos - nowNanos > 0;
+        boolean mayHaveRestarted =
+                awaitsAnswer && nowNanos - lastLossNanos < MAX_REGISTRATION_DELAY.toNanos();
+        return mayHaveRestarted || coldUntilNanos - nowNanos > 0;
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -218,8 +218,11 @@
                 .ifPresent(state -> state.onHeaders(send, load, nowNanos));
     }
 
-    /** Records the mean gap so far between the events of a running stream. */
-    public void onStreamProgress(Send send, Duration gap) {
+    /** Records the mean gap so far between the events of a running stream, and the last event. */
+    public void onStreamProgress(Send send, Duration gap, long lastEventNanos) {
+        upstreams
+                .state(send.upstream().incarnation())
+                .ifPresent(state -> state.onStreamProgress(send, lastEventNanos));
         rollOuts.onStreamProgress(send, gap, upstreams.runningRequests(send.upstream()));
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -214,6 +214,11 @@
         reportedLoad.ifPresent(value -> recordLoad(value, nowNanos));
     }
 
+    /** Records when the last event of a running stream came. */
+    void onStreamProgress(Send send, long lastEventNanos) {
+        possibleRestart.onAnswer(send.startNanos(), coldDuration, lastEventNanos);
+    }
+
     void onSendEnd(SendReport report, long nowNanos) {
         if (!report.headersReceived()) {
             onResolved(report.send());
@@ -223,6 +228,9 @@
         if (outcome == SendOutcome.ANSWERED) {
             consecutiveSuspensions = 0;
         }
+        if (outcome.isCompleteAnswer()) {
+            possibleRestart.onAnswer(report.send().startNanos(), coldDuration, nowNanos);
+        }
         if (outcome == SendOutcome.ANSWERED || outcome.isFailure()) {
             failureShare += NEW_OUTCOME_WEIGHT * ((outcome.isFailure() ? 1 : 0) - failureShare);
         }
--- a/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -57,6 +58,38 @@
         assertThat(sendsOf(20)).isEqualTo(20);
     }
 
+    @Test
+    void eventOfAStreamFromBeforeTheLossShowsThatTheProcessLives() {
+        Send older = send().orElseThrow();
+        answer(older);
+        passMillis(10);
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(1000);
+        state.onStreamProgress(older, Duration.ofMillis(20), nowNanos - 100_000_000);
+        assertThat(sendsOf(20)).isEqualTo(20);
+    }
+
+    @Test
+    void endOfAnAnswerFromBeforeTheLossShowsThatTheProcessLives() {
+        Send older = send().orElseThrow();
+        answer(older);
+        passMillis(10);
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(1000);
+        end(older, SendOutcome.ANSWERED);
+        assertThat(sendsOf(20)).isEqualTo(20);
+    }
+
+    /** A router without a share in the cold rate sends nothing that could be answered. */
+    @Test
+    void lossIsForgottenWithoutAnAnswerOnceARestartWouldHaveBeenRegistered() {
+        Send lost = send().orElseThrow();
+        state.setLiveRouters(new LiveRouters("own", Set.of("own", "b", "c", "d", "e", "f"), 12));
+        end(lost, SendOutcome.BROKEN);
+        passMillis(7000);
+        assertThat(sendsOf(20)).isEqualTo(20);
+    }
+
     @Test
     void answerThatWasOnItsWayAtTheLossShowsNothing() {
         Send older = send().orElseThrow();
