--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakFaults.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakFaults.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -29,6 +30,7 @@
     private final SoakHistory history;
     private final StoreStandIn store;
     private final SoakStore rows;
+    private final Optional<StoreRestores> restores;
     private final List<SoakRouter> routers;
     private final List<SoakUpstream> upstreams;
     private final List<FaultyLink> links;
@@ -46,7 +48,9 @@
             SoakStore rows,
             List<SoakRouter> routers,
             List<SoakUpstream> upstreams,
-            List<FaultyLink> links) {
+            List<FaultyLink> links,
+            Optional<StoreRestores> restores) {
+        this.restores = restores;
         this.random = random;
         this.history = history;
         this.store = store;
@@ -75,6 +79,9 @@
             revoked = true;
             rows.revoke("doomed", "steady");
         }
+        if (restores.filter(StoreRestores::maybeRestore).isPresent()) {
+            disturbAll();
+        }
         done++;
         kinds.get(random.nextInt(kinds.size())).begin();
     }
--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakRun.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakRun.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -44,7 +45,12 @@
     private volatile boolean loaded = true;
     private int calls;
 
-    SoakRun(long seed) throws Exception {
+    /**
+     * Starts all but the routers.
+     *
+     * @param restoresStore whether the store comes back from older copies, beside the other faults
+     */
+    SoakRun(long seed, boolean restoresStore) throws Exception {
         this.seed = seed;
         random = new Random(seed);
         directory = Files.createTempDirectory("soak-" + seed + "-");
@@ -59,7 +65,11 @@
         for (int i = 0; i < ROUTERS; i++) {
             routers.add(new SoakRouter("router-" + i, directory, ports, store.address()));
         }
-        faults = new SoakFaults(random, history, store, rows, routers, upstreams, links);
+        Optional<StoreRestores> restores =
+                restoresStore
+                        ? Optional.of(new StoreRestores(seed, store, rows))
+                        : Optional.empty();
+        faults = new SoakFaults(random, history, store, rows, routers, upstreams, links, restores);
     }
 
     /** Plays the seed; returns the breaches. */
--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakStore.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakStore.java
@@ -2,8 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.platform_clients.JsonHttpClient;
+import org.wigeonferry.stand_ins.StoreCopy;
 import org.wigeonferry.stand_ins.StoreStandIn;
 
 /**
@@ -16,6 +19,7 @@
 
     private final StoreStandIn store;
     private final SoakHistory history;
+    private final Map<RowName, String> texts = new LinkedHashMap<>();
     private int version = 1;
 
     SoakStore(StoreStandIn store, SoakHistory history) {
@@ -43,7 +47,7 @@
         for (String key : keys) {
             accounts.addObject().put("name", "of-" + key).putArray("api_keys").add(key);
         }
-        store.put("op", "config", config.toString());
+        put(new RowName("op", "config"), config.toString());
     }
 
     /** Takes a key away. */
@@ -56,17 +60,34 @@
         ObjectNode entry = JsonHttpClient.newObject().put("service", service);
         entry.put("address", address.toString()).put("zone", "z").put("version", "v1");
         entry.put("slots", 8).put("state", leaving ? "draining" : "ready").put("born", 1);
-        store.put("servers", id, entry.toString());
+        put(new RowName("servers", id), entry.toString());
         if (leaving) {
             history.leaving(id);
         }
     }
 
     synchronized void upstreamGone(String id) {
+        texts.remove(new RowName("servers", id));
         store.remove("servers", id);
         history.leaving(id);
     }
 
+    /** Lets the store go back to a copy; the operator and the upstreams write their rows again. */
+    synchronized void restore(StoreCopy copy) {
+        store.restore(copy);
+        copy.rows().values().stream()
+                .filter(row -> row.path("table").asText().equals("servers"))
+                .map(row -> row.path("key").asText())
+                .filter(id -> !texts.containsKey(new RowName("servers", id)))
+                .forEach(id -> store.remove("servers", id));
+        texts.forEach((row, text) -> store.put(row.table(), row.key(), text));
+    }
+
+    private void put(RowName row, String text) {
+        texts.put(row, text);
+        store.put(row.table(), row.key(), text);
+    }
+
     /** Rows that another writer may have left. */
     synchronized void garbage(int number) {
         store.putBase64("servers", "bad-" + number, "*no base64*");
--- a/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/soak/SoakTest.java
@@ -13,17 +13,37 @@
     /** Seeds that failed once, each with its cause in docs/PROOFS.md. */
     private static final long[] REGRESSIONS = {2000, 3001};
 
+    /** A seed that CI plays with a store that comes back from older copies. */
+    private static final long SEED_WITH_RESTORES = 3600;
+
     static LongStream seeds() {
+        return LongStream.concat(LongStream.of(REGRESSIONS), freshSeeds());
+    }
+
+    static LongStream seedsWithRestores() {
+        return LongStream.concat(LongStream.of(SEED_WITH_RESTORES), freshSeeds());
+    }
+
+    private static LongStream freshSeeds() {
         long first = Long.getLong("soak.first", 1);
         long count = Long.getLong("soak.count", 0);
-        return LongStream.concat(
-                LongStream.of(REGRESSIONS), LongStream.range(first, first + count));
+        return LongStream.range(first, first + count);
     }
 
     @ParameterizedTest
     @MethodSource("seeds")
     void keepsEveryPromise(long seed) throws Exception {
-        try (SoakRun run = new SoakRun(seed)) {
+        play(seed, false);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsWithRestores")
+    void keepsEveryPromiseThoughTheStoreComesBackFromOlderCopies(long seed) throws Exception {
+        play(seed, true);
+    }
+
+    private static void play(long seed, boolean restoresStore) throws Exception {
+        try (SoakRun run = new SoakRun(seed, restoresStore)) {
             assertThat(run.play(DISTURBED_MILLIS)).isEmpty();
         }
     }
