Tell the routers of a zone which upstreams were lost, as one that had nothing there floods them at their return

Cause: with 29 routers, some have nothing under way at an upstream while it restarts, and don't try it meanwhile, so they lose no connection. To them it is idle, in their zone and warm: front-ogbomoso-6 sent nine requests to i-aace57a97e in half a second, front-ogbomoso-5 seventeen to i-4ee745f39f in 0.95 s, neither with a loss before, while five to nine other routers had lost theirs.

Change: the load reports of a zone name upstreams that refused a connection, or lost two or more at once; a single loss may be a spoiled answer and stays a matter of its router. The field is optional, older routers leave it out and ignore it.

Tests: LoadExchangeTest.upstreamThatRefusesConnectionsIsReportedOnce, RestartedUpstreamFloodedTest.upstreamThatAnotherRouterLostMayHaveRestarted, both of what is new.

--- a/messages/src/main/java/org/wigeonferry/messages/gen/RouterLoadMessage.java
+++ b/messages/src/main/java/org/wigeonferry/messages/gen/RouterLoadMessage.java
@@ -8,7 +8,7 @@
 
 /**
  * All that one router has under way, which a higher sequence replaces, and the prompts that it sent
- * since the message before.
+ * and the upstreams that it lost since the message before.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class RouterLoadMessage implements org.apache.thrift.TBase<RouterLoadMessage, RouterLoadMessage._Fields>, java.io.Serializable, Cloneable, Comparable<RouterLoadMessage> {
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField LOST_UPSTREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("lostUpstreams", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RouterLoadMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RouterLoadMessageTupleSchemeFactory();
@@ -26,13 +27,15 @@
   private long sequence; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<UpstreamLoadMessage> loads; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<SentPromptMessage> prompts; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> lostUpstreams; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ROUTER((short)1, "router"),
     SEQUENCE((short)2, "sequence"),
     LOADS((short)3, "loads"),
-    PROMPTS((short)4, "prompts");
+    PROMPTS((short)4, "prompts"),
+    LOST_UPSTREAMS((short)5, "lostUpstreams");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -56,6 +59,8 @@
           return LOADS;
         case 4: // PROMPTS
           return PROMPTS;
+        case 5: // LOST_UPSTREAMS
+          return LOST_UPSTREAMS;
         default:
           return null;
       }
@@ -101,6 +106,7 @@
   // isset id assignments
   private static final int __SEQUENCE_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.LOST_UPSTREAMS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -114,6 +120,9 @@
     tmpMap.put(_Fields.PROMPTS, new org.apache.thrift.meta_data.FieldMetaData("prompts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SentPromptMessage.class))));
+    tmpMap.put(_Fields.LOST_UPSTREAMS, new org.apache.thrift.meta_data.FieldMetaData("lostUpstreams", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RouterLoadMessage.class, metaDataMap);
   }
@@ -158,6 +167,10 @@
       }
       this.prompts = __this__prompts;
     }
+    if (other.isSetLostUpstreams()) {
+      java.util.List<java.lang.Integer> __this__lostUpstreams = new java.util.ArrayList<java.lang.Integer>(other.lostUpstreams);
+      this.lostUpstreams = __this__lostUpstreams;
+    }
   }
 
   @Override
@@ -172,6 +185,7 @@
     this.sequence = 0;
     this.loads = null;
     this.prompts = null;
+    this.lostUpstreams = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -304,6 +318,47 @@
     }
   }
 
+  public int getLostUpstreamsSize() {
+    return (this.lostUpstreams == null) ? 0 : this.lostUpstreams.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Integer> getLostUpstreamsIterator() {
+    return (this.lostUpstreams == null) ? null : this.lostUpstreams.iterator();
+  }
+
+  public void addToLostUpstreams(int elem) {
+    if (this.lostUpstreams == null) {
+      this.lostUpstreams = new java.util.ArrayList<java.lang.Integer>();
+    }
+    this.lostUpstreams.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Integer> getLostUpstreams() {
+    return this.lostUpstreams;
+  }
+
+  public RouterLoadMessage setLostUpstreams(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> lostUpstreams) {
+    this.lostUpstreams = lostUpstreams;
+    return this;
+  }
+
+  public void unsetLostUpstreams() {
+    this.lostUpstreams = null;
+  }
+
+  /** Returns true if field lostUpstreams is set (has been assigned a value) and false otherwise */
+  public boolean isSetLostUpstreams() {
+    return this.lostUpstreams != null;
+  }
+
+  public void setLostUpstreamsIsSet(boolean value) {
+    if (!value) {
+      this.lostUpstreams = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -339,6 +394,14 @@
       }
       break;
 
+    case LOST_UPSTREAMS:
+      if (value == null) {
+        unsetLostUpstreams();
+      } else {
+        setLostUpstreams((java.util.List<java.lang.Integer>)value);
+      }
+      break;
+
     }
   }
 
@@ -358,6 +421,9 @@
     case PROMPTS:
       return getPrompts();
 
+    case LOST_UPSTREAMS:
+      return getLostUpstreams();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -378,6 +444,8 @@
       return isSetLoads();
     case PROMPTS:
       return isSetPrompts();
+    case LOST_UPSTREAMS:
+      return isSetLostUpstreams();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -431,6 +499,15 @@
         return false;
     }
 
+    boolean this_present_lostUpstreams = true && this.isSetLostUpstreams();
+    boolean that_present_lostUpstreams = true && that.isSetLostUpstreams();
+    if (this_present_lostUpstreams || that_present_lostUpstreams) {
+      if (!(this_present_lostUpstreams && that_present_lostUpstreams))
+        return false;
+      if (!this.lostUpstreams.equals(that.lostUpstreams))
+        return false;
+    }
+
     return true;
   }
 
@@ -452,6 +529,10 @@
     if (isSetPrompts())
       hashCode = hashCode * 8191 + prompts.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetLostUpstreams()) ? 131071 : 524287);
+    if (isSetLostUpstreams())
+      hashCode = hashCode * 8191 + lostUpstreams.hashCode();
+
     return hashCode;
   }
 
@@ -503,6 +584,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLostUpstreams(), other.isSetLostUpstreams());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLostUpstreams()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lostUpstreams, other.lostUpstreams);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -554,6 +645,16 @@
       sb.append(this.prompts);
     }
     first = false;
+    if (isSetLostUpstreams()) {
+      if (!first) sb.append(", ");
+      sb.append("lostUpstreams:");
+      if (this.lostUpstreams == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.lostUpstreams);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -665,6 +766,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // LOST_UPSTREAMS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
+                struct.lostUpstreams = new java.util.ArrayList<java.lang.Integer>(_list70.size);
+                int _elem71;
+                for (int _i72 = 0; _i72 < _list70.size; ++_i72)
+                {
+                  _elem71 = iprot.readI32();
+                  struct.lostUpstreams.add(_elem71);
+                }
+                iprot.readListEnd();
+              }
+              struct.setLostUpstreamsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -696,9 +815,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (UpstreamLoadMessage _iter70 : struct.loads)
+          for (UpstreamLoadMessage _iter73 : struct.loads)
           {
-            _iter70.write(oprot);
+            _iter73.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -708,14 +827,28 @@
         oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-          for (SentPromptMessage _iter71 : struct.prompts)
+          for (SentPromptMessage _iter74 : struct.prompts)
           {
-            _iter71.write(oprot);
+            _iter74.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.lostUpstreams != null) {
+        if (struct.isSetLostUpstreams()) {
+          oprot.writeFieldBegin(LOST_UPSTREAMS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.lostUpstreams.size()));
+            for (int _iter75 : struct.lostUpstreams)
+            {
+              oprot.writeI32(_iter75);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -738,16 +871,30 @@
       oprot.writeI64(struct.sequence);
       {
         oprot.writeI32(struct.loads.size());
-        for (UpstreamLoadMessage _iter72 : struct.loads)
+        for (UpstreamLoadMessage _iter76 : struct.loads)
         {
-          _iter72.write(oprot);
+          _iter76.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.prompts.size());
-        for (SentPromptMessage _iter73 : struct.prompts)
+        for (SentPromptMessage _iter77 : struct.prompts)
         {
-          _iter73.write(oprot);
+          _iter77.write(oprot);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetLostUpstreams()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetLostUpstreams()) {
+        {
+          oprot.writeI32(struct.lostUpstreams.size());
+          for (int _iter78 : struct.lostUpstreams)
+          {
+            oprot.writeI32(_iter78);
+          }
         }
       }
     }
@@ -760,29 +907,43 @@
       struct.sequence = iprot.readI64();
       struct.setSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list74.size);
-        @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem75;
-        for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+        org.apache.thrift.protocol.TList _list79 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list79.size);
+        @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem80;
+        for (int _i81 = 0; _i81 < _list79.size; ++_i81)
         {
-          _elem75 = new UpstreamLoadMessage();
-          _elem75.read(iprot);
-          struct.loads.add(_elem75);
+          _elem80 = new UpstreamLoadMessage();
+          _elem80.read(iprot);
+          struct.loads.add(_elem80);
         }
       }
       struct.setLoadsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.prompts = new java.util.ArrayList<SentPromptMessage>(_list77.size);
-        @org.apache.thrift.annotation.Nullable SentPromptMessage _elem78;
-        for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+        org.apache.thrift.protocol.TList _list82 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.prompts = new java.util.ArrayList<SentPromptMessage>(_list82.size);
+        @org.apache.thrift.annotation.Nullable SentPromptMessage _elem83;
+        for (int _i84 = 0; _i84 < _list82.size; ++_i84)
         {
-          _elem78 = new SentPromptMessage();
-          _elem78.read(iprot);
-          struct.prompts.add(_elem78);
+          _elem83 = new SentPromptMessage();
+          _elem83.read(iprot);
+          struct.prompts.add(_elem83);
         }
       }
       struct.setPromptsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.lostUpstreams = new java.util.ArrayList<java.lang.Integer>(_list85.size);
+          int _elem86;
+          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          {
+            _elem86 = iprot.readI32();
+            struct.lostUpstreams.add(_elem86);
+          }
+        }
+        struct.setLostUpstreamsIsSet(true);
+      }
     }
   }
 
--- a/messages/src/main/thrift/messages.thrift
+++ b/messages/src/main/thrift/messages.thrift
@@ -162,11 +162,12 @@
 
 /**
  * All that one router has under way, which a higher sequence replaces, and the prompts that it sent
- * since the message before.
+ * and the upstreams that it lost since the message before.
  */
 struct RouterLoadMessage {
   1: required string router;
   2: required i64 sequence;
   3: required list<UpstreamLoadMessage> loads;
   4: required list<SentPromptMessage> prompts;
+  5: optional list<i32> lostUpstreams;
 }
--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -18,8 +18,8 @@
 import org.wigeonferry.routing.SentPrompt;
 
 /**
- * Tells the other routers of the availability zone what this one has under way, and which prompts
- * it sent where.
+ * Tells the other routers of the availability zone what this one has under way, which prompts it
+ * sent where, and which upstreams it has lost, as they may start again before others notice.
  *
  * <p>Only routers of one zone exchange reports, since requests mostly stay in their zone and bytes
  * between zones are dear. Owned by the control thread.
@@ -125,15 +125,19 @@
         state.peerLoads()
                 .apply(report.router(), report.sequence(), report.loads(), control.nanoTime());
         report.prompts().forEach(state.upstreams()::recordPeerPrompt);
+        report.lostUpstreams()
+                .forEach(key -> state.upstreams().recordPeerLoss(key, control.nanoTime()));
     }
 
     private void reportIfDue() {
         reportScheduled = false;
         List<OwnLoad> loads = state.ownLoads();
+        List<Integer> lostUpstreams = state.upstreams().takeLostUpstreams();
         intervalsSinceReport++;
         boolean due =
                 !loads.equals(lastLoads)
                         || !sentPrompts.isEmpty()
+                        || !lostUpstreams.isEmpty()
                         || (!loads.isEmpty()
                                 && intervalsSinceReport >= INTERVALS_PER_UNCHANGED_REPORT);
         List<HostAddress> receivers = peers.get();
@@ -145,7 +149,7 @@
         lastLoads = loads;
         intervalsSinceReport = 0;
         try {
-            byte[] datagram = encodeWhatFits(loads);
+            byte[] datagram = encodeWhatFits(loads, lostUpstreams);
             receivers.forEach(peer -> sender.send(peer, datagram));
         } catch (CodecException e) {
             LOG.atWarn().addKeyValue("cause", e.toString()).log("load report can't be written");
@@ -155,11 +159,18 @@
     }
 
     /** Leaves the prompts out if they don't fit: a caller may send any number of long parts. */
-    private byte[] encodeWhatFits(List<OwnLoad> loads) throws CodecException {
-        byte[] datagram =
-                LoadReportMessages.encode(new LoadReport(name, sequence, loads, sentPrompts));
+    private byte[] encodeWhatFits(List<OwnLoad> loads, List<Integer> lostUpstreams)
+            throws CodecException {
+        byte[] datagram = encode(loads, sentPrompts, lostUpstreams);
         return datagram.length <= DatagramSocketPair.MAX_DATAGRAM_BYTES
                 ? datagram
-                : LoadReportMessages.encode(new LoadReport(name, sequence, loads, List.of()));
+                : encode(loads, List.of(), lostUpstreams);
+    }
+
+    private byte[] encode(
+            List<OwnLoad> loads, List<SentPrompt> prompts, List<Integer> lostUpstreams)
+            throws CodecException {
+        return LoadReportMessages.encode(
+                new LoadReport(name, sequence, loads, prompts, lostUpstreams));
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/LoadReport.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadReport.java
@@ -5,15 +5,22 @@
 import org.wigeonferry.routing.SentPrompt;
 
 /**
- * All that one router has under way at the upstreams, and the prompts that it sent since its report
- * before.
+ * All that one router has under way at the upstreams, and the prompts that it sent and the
+ * upstreams that it lost since its report before.
  *
  * <p>Immutable and thread safe.
  *
  * @param sequence rises with each report of a router, also over its restarts
+ * @param lostUpstreams keys of upstreams to which all connections were lost or none could be made
  */
-record LoadReport(String router, long sequence, List<OwnLoad> loads, List<SentPrompt> prompts) {
+record LoadReport(
+        String router,
+        long sequence,
+        List<OwnLoad> loads,
+        List<SentPrompt> prompts,
+        List<Integer> lostUpstreams) {
     LoadReport {
+        lostUpstreams = List.copyOf(lostUpstreams);
         loads = List.copyOf(loads);
         prompts = List.copyOf(prompts);
     }
--- a/router/src/main/java/org/wigeonferry/router/LoadReportMessages.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadReportMessages.java
@@ -37,7 +37,8 @@
             prompts.add(encodePrompt(prompt));
         }
         return MessageCodec.encode(
-                new RouterLoadMessage(report.router(), report.sequence(), loads, prompts));
+                new RouterLoadMessage(report.router(), report.sequence(), loads, prompts)
+                        .setLostUpstreams(report.lostUpstreams()));
     }
 
     /** Decodes a report; throws if it is no report or a number is out of range. */
@@ -55,7 +56,10 @@
         for (SentPromptMessage prompt : message.getPrompts()) {
             prompts.add(decodePrompt(prompt));
         }
-        return new LoadReport(message.getRouter(), message.getSequence(), loads, prompts);
+        List<Integer> lostUpstreams =
+                message.isSetLostUpstreams() ? message.getLostUpstreams() : List.of();
+        return new LoadReport(
+                message.getRouter(), message.getSequence(), loads, prompts, lostUpstreams);
     }
 
     private static SentPromptMessage encodePrompt(SentPrompt prompt) {
--- a/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
+++ b/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
@@ -23,6 +23,8 @@
 import org.wigeonferry.routing.RoutedRequest;
 import org.wigeonferry.routing.RoutingState;
 import org.wigeonferry.routing.Send;
+import org.wigeonferry.routing.SendOutcome;
+import org.wigeonferry.routing.SendReport;
 import org.wigeonferry.routing.SentPrompt;
 import org.wigeonferry.stand_ins.VirtualControl;
 import org.wigeonferry.stand_ins.VirtualTime;
@@ -69,7 +71,8 @@
                         "r",
                         7,
                         List.of(new OwnLoad(-3, 4000, 2)),
-                        List.of(new SentPrompt(-3, "large", List.of(new PromptPart("5c1e", 800)))));
+                        List.of(new SentPrompt(-3, "large", List.of(new PromptPart("5c1e", 800)))),
+                        List.of(-3, 9));
         assertThat(LoadReportMessages.decode(LoadReportMessages.encode(report))).isEqualTo(report);
     }
 
@@ -107,6 +110,28 @@
                 Optional.empty());
     }
 
+    @Test
+    void upstreamThatRefusesConnectionsIsReportedOnce() throws Exception {
+        state.updateConfig(RouterControlTest.config());
+        state.freshness().recordConfirmation(time.nanoTime(), 0);
+        state.upstreams().put(RouterControlTest.upstream(), time.nanoTime());
+        exchange.start();
+        Job job = ((Admitted) state.admit(longPrompt(0), time.nanoTime(), 0)).job();
+        Send send = (Send) state.routeJob(job, "", time.nanoTime(), 0);
+        state.onSendEnd(
+                job,
+                "",
+                new SendReport(
+                        send, SendOutcome.NOT_SENT, false, Optional.empty(), Optional.empty()),
+                time.nanoTime());
+        time.run(Duration.ofSeconds(2));
+        List<Integer> lost = new ArrayList<>();
+        for (byte[] datagram : sent) {
+            lost.addAll(LoadReportMessages.decode(datagram).lostUpstreams());
+        }
+        assertThat(lost).hasSize(1);
+    }
+
     @Test
     void numbersOutOfRangeAreNoReport() throws Exception {
         for (OwnLoad odd :
@@ -115,7 +140,8 @@
                         new OwnLoad(1, Integer.MAX_VALUE, 1),
                         new OwnLoad(1, 1, Integer.MAX_VALUE))) {
             byte[] datagram =
-                    LoadReportMessages.encode(new LoadReport("r", 7, List.of(odd), List.of()));
+                    LoadReportMessages.encode(
+                            new LoadReport("r", 7, List.of(odd), List.of(), List.of()));
             assertThatThrownBy(() -> LoadReportMessages.decode(datagram))
                     .isInstanceOf(CodecException.class);
         }
--- a/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
@@ -23,7 +23,12 @@
      */
     private static final Duration MAX_REGISTRATION_DELAY = Duration.ofSeconds(6);
 
+    /** Connections that a process loses as it ends are lost within this time. */
+    private static final Duration MAX_LOSS_SPREAD = Duration.ofMillis(200);
+
     private boolean awaitsAnswer;
+    private int lossesAtOnce;
+    private boolean endIsNews;
     private long firstLossNanos;
     private long lastLossNanos;
     private long coldUntilNanos;
@@ -32,7 +37,26 @@
         coldUntilNanos = nowNanos;
     }
 
-    /** Records that a connection to the upstream was lost or could not be made. */
+    /**
+     * Records that a connection was lost, or could not be made.
+     *
+     * @param refused whether the connection could not be made
+     */
+    void onOwnLoss(boolean refused, long nowNanos) {
+        boolean atOnce = lossesAtOnce > 0 && nowNanos - lastLossNanos <= MAX_LOSS_SPREAD.toNanos();
+        lossesAtOnce = atOnce ? lossesAtOnce + 1 : 1;
+        endIsNews |= refused || lossesAtOnce > 1;
+        onLoss(nowNanos);
+    }
+
+    /** Whether the process has probably ended, as no single connection was lost; asked once. */
+    boolean takeProbableEnd() {
+        boolean isNews = endIsNews;
+        endIsNews = false;
+        return isNews;
+    }
+
+    /** Records that this router or another one has lost a connection to the upstream. */
     void onLoss(long nowNanos) {
         if (!mayBeCold(nowNanos)) {
             firstLossNanos = nowNanos;
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /**
  * The known upstreams.
@@ -62,11 +63,27 @@
 
     /** Records a prompt that another router sent to an upstream, if it is known. */
     public void recordPeerPrompt(SentPrompt prompt) {
-        upstreamStates.values().stream()
-                .filter(state -> state.key() == prompt.upstreamKey())
+        statesWithKey(prompt.upstreamKey())
                 .forEach(state -> state.recordPrompt(prompt.model(), prompt.parts()));
     }
 
+    /** Records that another router has lost its connections to an upstream, if it is known. */
+    public void recordPeerLoss(int upstreamKey, long nowNanos) {
+        statesWithKey(upstreamKey).forEach(state -> state.onPeerLoss(nowNanos));
+    }
+
+    /** The keys of upstreams that have probably ended, by this router's losses; each once. */
+    public List<Integer> takeLostUpstreams() {
+        return upstreamStates.values().stream()
+                .filter(UpstreamState::takeProbableEnd)
+                .map(UpstreamState::key)
+                .toList();
+    }
+
+    private Stream<UpstreamState> statesWithKey(int key) {
+        return upstreamStates.values().stream().filter(state -> state.key() == key);
+    }
+
     /**
      * Adds an upstream, or updates a known one; a new incarnation replaces the old one.
      *
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -115,6 +115,16 @@
         return coldUntilNanos - nowNanos > 0 || possibleRestart.mayBeCold(nowNanos);
     }
 
+    /** Records that another router has lost its connections to the upstream. */
+    void onPeerLoss(long nowNanos) {
+        possibleRestart.onLoss(nowNanos);
+    }
+
+    /** Whether this router's losses say that the process has probably ended; asked once. */
+    boolean takeProbableEnd() {
+        return possibleRestart.takeProbableEnd();
+    }
+
     int sendsInLastSecond(long nowNanos) {
         return recentSends.count(nowNanos);
     }
@@ -238,7 +248,7 @@
                 || outcome == SendOutcome.BROKEN
                 || outcome == SendOutcome.SILENT) {
             suspend(nowNanos);
-            possibleRestart.onLoss(nowNanos);
+            possibleRestart.onOwnLoss(outcome == SendOutcome.NOT_SENT, nowNanos);
         }
     }
 
--- a/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
@@ -128,6 +128,22 @@
         assertThat(sent + sendsOf(20)).isEqualTo(COLD_RATE);
     }
 
+    @Test
+    void upstreamThatAnotherRouterLostMayHaveRestarted() {
+        RoutingState other = Fixtures.state(Fixtures.config(7), nowNanos);
+        other.upstreams().put(incarnation(1, 0), nowNanos);
+        Send first = sendOf(other).orElseThrow();
+        Send second = sendOf(other).orElseThrow();
+        endAt(other, first, SendOutcome.BROKEN);
+        assertThat(other.upstreams().takeLostUpstreams()).isEmpty();
+        endAt(other, second, SendOutcome.BROKEN);
+        assertThat(other.upstreams().takeLostUpstreams())
+                .hasSize(1)
+                .allSatisfy(key -> state.upstreams().recordPeerLoss(key, nowNanos));
+        passMillis(100);
+        assertThat(sendsOf(20)).isEqualTo(COLD_RATE);
+    }
+
     @Test
     void lateRegistrationOfTheOldProcessDoesNotReplaceTheNewOne() {
         state.upstreams().put(incarnation(2, COLD_MILLIS), nowNanos);
@@ -164,10 +180,14 @@
     }
 
     private Optional<Send> send() {
+        return sendOf(state);
+    }
+
+    private Optional<Send> sendOf(RoutingState router) {
         nextRequest++;
         RoutedRequest request = Fixtures.request("chat", "id" + nextRequest, Optional.empty());
-        Job job = Fixtures.admit(state, request, nowNanos);
-        return Optional.of(Fixtures.place(state, job, nowNanos))
+        Job job = Fixtures.admit(router, request, nowNanos);
+        return Optional.of(Fixtures.place(router, job, nowNanos))
                 .filter(Send.class::isInstance)
                 .map(Send.class::cast);
     }
@@ -177,7 +197,11 @@
     }
 
     private void end(Send send, SendOutcome outcome) {
-        Job job = Fixtures.admit(state, Fixtures.request("chat"), nowNanos);
-        state.onSendEnd(job, "content", Fixtures.reportWithoutHeaders(send, outcome), nowNanos);
+        endAt(state, send, outcome);
+    }
+
+    private void endAt(RoutingState router, Send send, SendOutcome outcome) {
+        Job job = Fixtures.admit(router, Fixtures.request("chat"), nowNanos);
+        router.onSendEnd(job, "content", Fixtures.reportWithoutHeaders(send, outcome), nowNanos);
     }
 }
