Keep the doubt whether an upstream has restarted while its registration is gone

RestartedUpstreamFloodedTest.registrationThatComesBackMayBeOlderThanARestart: red with the doubt dropped.

--- a/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
@@ -41,12 +41,15 @@
     }
 
     /**
-     * Records that the registration was read as this router started: it may be older than a restart
-     * that is not registered yet, whose loss of connections this router has not seen.
+     * Records that a registration was read that may be older than a restart: as this router
+     * started, so that it saw no connections lost, or after the registration was gone.
      */
-    void onFirstRegistration(long nowNanos) {
-        firstLossNanos = nowNanos;
-        coldUntilNanos = nowNanos + MAX_REGISTRATION_LAG.toNanos();
+    void onDoubtfulRegistration(long nowNanos) {
+        if (!mayBeCold(nowNanos)) {
+            firstLossNanos = nowNanos;
+        }
+        long endNanos = nowNanos + MAX_REGISTRATION_LAG.toNanos();
+        coldUntilNanos = coldUntilNanos - endNanos > 0 ? coldUntilNanos : endNanos;
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -95,7 +95,7 @@
      */
     public boolean put(UpstreamInstance upstream, long nowNanos) {
         UpstreamHistory history =
-                histories.computeIfAbsent(upstream.id(), id -> new UpstreamHistory());
+                histories.computeIfAbsent(upstream.id(), id -> new UpstreamHistory(nowNanos));
         boolean isDraining =
                 upstream(upstream.id())
                         .filter(UpstreamInstance::draining)
@@ -214,7 +214,7 @@
 
     private UpstreamState newState(
             UpstreamInstance upstream, UpstreamHistory history, long nowNanos) {
-        UpstreamState state = new UpstreamState(upstream, history.recentSends(), nowNanos);
+        UpstreamState state = new UpstreamState(upstream, history, nowNanos);
         state.setServiceTraits(serviceTraits(upstream));
         if (!allReadBefore) {
             state.onFirstRegistration(nowNanos);
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamHistory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamHistory.java
@@ -5,7 +5,7 @@
 
 /**
  * What is known of an upstream beyond its present incarnation: the sends of the last second, which
- * incarnation replaced which, and which one is gone.
+ * incarnation replaced which, which one is gone, and whether one may have started unnoticed.
  *
  * <p>Owned by the control thread.
  */
@@ -21,12 +21,18 @@
 
     private final SlidingWindowCounter recentSends =
             new SlidingWindowCounter(UpstreamState.COLD_RATE_WINDOW);
+    private PossibleRestart possibleRestart;
     private Optional<Incarnation> current = Optional.empty();
     private Optional<Incarnation> replaced = Optional.empty();
     private long replacedNanos;
     private boolean removed;
     private long lastChangeNanos;
 
+    UpstreamHistory(long nowNanos) {
+        possibleRestart = new PossibleRestart(nowNanos);
+        lastChangeNanos = nowNanos;
+    }
+
     /** Whether an incarnation was the last one when the upstream was removed. */
     boolean isGone(Incarnation incarnation) {
         return removed && current.equals(Optional.of(incarnation));
@@ -38,6 +44,11 @@
         lastChangeNanos = nowNanos;
     }
 
+    /** Whether the current incarnation may have been replaced by one that is not registered. */
+    PossibleRestart possibleRestart() {
+        return possibleRestart;
+    }
+
     /** Counts the sends of the last second to all incarnations. */
     SlidingWindowCounter recentSends() {
         return recentSends;
@@ -58,6 +69,11 @@
             replaced = current;
             replacedNanos = nowNanos;
         }
+        if (!current.equals(Optional.of(incarnation))) {
+            possibleRestart = new PossibleRestart(nowNanos);
+        } else if (removed) {
+            possibleRestart.onDoubtfulRegistration(nowNanos);
+        }
         current = Optional.of(incarnation);
         removed = false;
         lastChangeNanos = nowNanos;
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -69,17 +69,17 @@
     /**
      * Creates the state of an incarnation that nothing was sent to.
      *
-     * @param recentSends counts the sends to all incarnations of the upstream, as a router may have
+     * @param history counts the sends to all incarnations of the upstream, as a router may have
      *     sent to this one before it knew of it
      */
-    UpstreamState(UpstreamInstance instance, SlidingWindowCounter recentSends, long nowNanos) {
+    UpstreamState(UpstreamInstance instance, UpstreamHistory history, long nowNanos) {
         key = Hashes.key(instance.id());
         this.instance = instance;
-        this.recentSends = recentSends;
+        recentSends = history.recentSends();
+        possibleRestart = history.possibleRestart();
         suspendedUntilNanos = nowNanos;
         lastSendNanos = nowNanos;
         coldUntilNanos = nowNanos + instance.coldTimeLeft().toNanos();
-        possibleRestart = new PossibleRestart(nowNanos);
     }
 
     /** Stands for the upstream in messages between routers. */
@@ -117,7 +117,7 @@
 
     /** Records that the registration was read as this router started. */
     void onFirstRegistration(long nowNanos) {
-        possibleRestart.onFirstRegistration(nowNanos);
+        possibleRestart.onDoubtfulRegistration(nowNanos);
     }
 
     /** Records that another router has lost its connections to the upstream. */
--- a/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RestartedUpstreamFloodedTest.java
@@ -156,6 +156,18 @@
         assertThat(sendsOf(started, 20)).isEqualTo(20);
     }
 
+    /** Its row has expired, and a write of the old process has come to the store late. */
+    @Test
+    void registrationThatComesBackMayBeOlderThanARestart() {
+        end(send().orElseThrow(), SendOutcome.BROKEN);
+        passMillis(2000);
+        state.upstreams().remove("a", nowNanos);
+        passMillis(1000);
+        state.upstreams().put(incarnation(1, 0), nowNanos);
+        passMillis(1600);
+        assertThat(sendsOf(20)).isEqualTo(COLD_RATE);
+    }
+
     @Test
     void lateRegistrationOfTheOldProcessDoesNotReplaceTheNewOne() {
         state.upstreams().put(incarnation(2, COLD_MILLIS), nowNanos);
--- a/routing/src/test/java/org/wigeonferry/routing/SilenceRuleTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SilenceRuleTest.java
@@ -52,7 +52,7 @@
         UpstreamState engine =
                 new UpstreamState(
                         Fixtures.upstream("e", "model"),
-                        new SlidingWindowCounter(UpstreamState.COLD_RATE_WINDOW),
+                        new UpstreamHistory(START_NANOS),
                         START_NANOS);
         Duration allowed = chat.maxEventGap();
         assertThat(isStalled(engine, allowed)).isFalse();
