--- a/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
@@ -41,8 +41,7 @@
     }
 
     /**
-     * Records that a registration was read that may be older than a restart: as this router
-     * started, so that it saw no connections lost, or after the registration was gone.
+     * Records that a registration was read that may be older than a restart, as it was gone before.
      */
     void onDoubtfulRegistration(long nowNanos) {
         if (!mayBeCold(nowNanos)) {
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -31,7 +31,6 @@
     private boolean enginePartitionCurrent;
     private long graceEndNanos;
     private boolean storeRecovered;
-    private boolean allReadBefore;
 
     UpstreamDirectory(Duration gracePeriod, Function<String, Optional<ServiceTraits>> traits) {
         this.gracePeriod = gracePeriod;
@@ -51,7 +50,6 @@
 
     /** Records that all rows of upstreams have been read. */
     public void onAllRead() {
-        allReadBefore = true;
         restored.onAllRead();
     }
 
@@ -216,9 +214,6 @@
             UpstreamInstance upstream, UpstreamHistory history, long nowNanos) {
         UpstreamState state = new UpstreamState(upstream, history, nowNanos);
         state.setServiceTraits(serviceTraits(upstream));
-        if (!allReadBefore) {
-            state.onFirstRegistration(nowNanos);
-        }
         return state;
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -115,11 +115,6 @@
         return coldUntilNanos - nowNanos > 0 || possibleRestart.mayBeCold(nowNanos);
     }
 
-    /** Records that the registration was read as this router started. */
-    void onFirstRegistration(long nowNanos) {
-        possibleRestart.onDoubtfulRegistration(nowNanos);
-    }
-
     /** Records that another router has lost its connections to the upstream. */
     void onPeerLoss(long nowNanos) {
         possibleRestart.onLoss(nowNanos);
