--- a/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PossibleRestart.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 /**
- * Tells whether an upstream may have started again, and so be cold, without that its new
- * registration has been read.
+ * Tells whether an upstream may have started again, and so be cold, before its new registration is
+ * read.
  *
  * <p>A process that ends loses its connections, and one that starts again has the same id and
  * address. So each lost connection counts as the end of a process, until an answer to a send from
@@ -17,13 +17,13 @@
     private static final Duration MAX_ANSWER_LAG = Duration.ofMillis(200);
 
     /**
-     * By this time after a loss, an upstream has registered a restart, or has lost its registration
-     * because it is silent. Bounds how long a router is kept away that has no share in the rate of
-     * a cold upstream and so never sees an answer.
+     * By this time after its last loss, an upstream has registered its restart, or its registration
+     * has expired as it is down. Without it, a router that has no share in the rate of a cold
+     * upstream, and so gets no answer from it, would never send to it again.
      */
     private static final Duration MAX_REGISTRATION_DELAY = Duration.ofSeconds(6);
 
-    /** A restart is registered, and its registration is read, within this time. */
+    /** An upstream that runs has its registration in the store, and read, within this time. */
     private static final Duration MAX_REGISTRATION_LAG = Duration.ofMillis(1500);
 
     /** Connections that a process loses as it ends are lost within this time. */
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamHistory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamHistory.java
@@ -44,7 +44,7 @@
         lastChangeNanos = nowNanos;
     }
 
-    /** Whether the current incarnation may have been replaced by one that is not registered. */
+    /** Tells whether an incarnation that is not registered may have replaced the current one. */
     PossibleRestart possibleRestart() {
         return possibleRestart;
     }
