--- a/router/src/main/java/org/wigeonferry/router/LoadReport.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadReport.java
@@ -11,7 +11,7 @@
  * <p>Immutable and thread safe.
  *
  * @param sequence rises with each report of a router, also over its restarts
- * @param lostUpstreams keys of upstreams to which all connections were lost or none could be made
+ * @param lostUpstreams keys of upstreams that refused a connection, or lost several at once
  */
 record LoadReport(
         String router,
