--- a/messages/src/main/java/org/wigeonferry/messages/gen/UpstreamLoadMessage.java
+++ b/messages/src/main/java/org/wigeonferry/messages/gen/UpstreamLoadMessage.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.I32, (short)1);
   private static final org.apache.thrift.protocol.TField QUEUED_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("queuedTokens", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField RUNNING_SENDS_FIELD_DESC = new org.apache.thrift.protocol.TField("runningSends", org.apache.thrift.protocol.TType.I32, (short)3);
+  private static final org.apache.thrift.protocol.TField HELD_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("heldTokens", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new UpstreamLoadMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new UpstreamLoadMessageTupleSchemeFactory();
@@ -23,12 +24,17 @@
   private int upstream; // required
   private int queuedTokens; // required
   private int runningSends; // required
+  private int heldTokens; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     UPSTREAM((short)1, "upstream"),
     QUEUED_TOKENS((short)2, "queuedTokens"),
-    RUNNING_SENDS((short)3, "runningSends");
+    RUNNING_SENDS((short)3, "runningSends"),
+    /**
+     * Tokens of memory that the sends may take; absent in reports of earlier releases.
+     */
+    HELD_TOKENS((short)4, "heldTokens");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +56,8 @@
           return QUEUED_TOKENS;
         case 3: // RUNNING_SENDS
           return RUNNING_SENDS;
+        case 4: // HELD_TOKENS
+          return HELD_TOKENS;
         default:
           return null;
       }
@@ -96,7 +104,9 @@
   private static final int __UPSTREAM_ISSET_ID = 0;
   private static final int __QUEUEDTOKENS_ISSET_ID = 1;
   private static final int __RUNNINGSENDS_ISSET_ID = 2;
+  private static final int __HELDTOKENS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.HELD_TOKENS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -106,6 +116,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.RUNNING_SENDS, new org.apache.thrift.meta_data.FieldMetaData("runningSends", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.HELD_TOKENS, new org.apache.thrift.meta_data.FieldMetaData("heldTokens", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(UpstreamLoadMessage.class, metaDataMap);
   }
@@ -135,6 +147,7 @@
     this.upstream = other.upstream;
     this.queuedTokens = other.queuedTokens;
     this.runningSends = other.runningSends;
+    this.heldTokens = other.heldTokens;
   }
 
   @Override
@@ -150,6 +163,8 @@
     this.queuedTokens = 0;
     setRunningSendsIsSet(false);
     this.runningSends = 0;
+    setHeldTokensIsSet(false);
+    this.heldTokens = 0;
   }
 
   public int getUpstream() {
@@ -221,6 +236,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RUNNINGSENDS_ISSET_ID, value);
   }
 
+  /**
+   * Tokens of memory that the sends may take; absent in reports of earlier releases.
+   */
+  public int getHeldTokens() {
+    return this.heldTokens;
+  }
+
+  /**
+   * Tokens of memory that the sends may take; absent in reports of earlier releases.
+   */
+  public UpstreamLoadMessage setHeldTokens(int heldTokens) {
+    this.heldTokens = heldTokens;
+    setHeldTokensIsSet(true);
+    return this;
+  }
+
+  public void unsetHeldTokens() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HELDTOKENS_ISSET_ID);
+  }
+
+  /** Returns true if field heldTokens is set (has been assigned a value) and false otherwise */
+  public boolean isSetHeldTokens() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HELDTOKENS_ISSET_ID);
+  }
+
+  public void setHeldTokensIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HELDTOKENS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -248,6 +292,14 @@
       }
       break;
 
+    case HELD_TOKENS:
+      if (value == null) {
+        unsetHeldTokens();
+      } else {
+        setHeldTokens((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -264,6 +316,9 @@
     case RUNNING_SENDS:
       return getRunningSends();
 
+    case HELD_TOKENS:
+      return getHeldTokens();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -282,6 +337,8 @@
       return isSetQueuedTokens();
     case RUNNING_SENDS:
       return isSetRunningSends();
+    case HELD_TOKENS:
+      return isSetHeldTokens();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -326,6 +383,15 @@
         return false;
     }
 
+    boolean this_present_heldTokens = true && this.isSetHeldTokens();
+    boolean that_present_heldTokens = true && that.isSetHeldTokens();
+    if (this_present_heldTokens || that_present_heldTokens) {
+      if (!(this_present_heldTokens && that_present_heldTokens))
+        return false;
+      if (this.heldTokens != that.heldTokens)
+        return false;
+    }
+
     return true;
   }
 
@@ -339,6 +405,10 @@
 
     hashCode = hashCode * 8191 + runningSends;
 
+    hashCode = hashCode * 8191 + ((isSetHeldTokens()) ? 131071 : 524287);
+    if (isSetHeldTokens())
+      hashCode = hashCode * 8191 + heldTokens;
+
     return hashCode;
   }
 
@@ -380,6 +450,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetHeldTokens(), other.isSetHeldTokens());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHeldTokens()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.heldTokens, other.heldTokens);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -415,6 +495,12 @@
     sb.append("runningSends:");
     sb.append(this.runningSends);
     first = false;
+    if (isSetHeldTokens()) {
+      if (!first) sb.append(", ");
+      sb.append("heldTokens:");
+      sb.append(this.heldTokens);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -489,6 +575,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // HELD_TOKENS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.heldTokens = iprot.readI32();
+              struct.setHeldTokensIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -523,6 +617,11 @@
       oprot.writeFieldBegin(RUNNING_SENDS_FIELD_DESC);
       oprot.writeI32(struct.runningSends);
       oprot.writeFieldEnd();
+      if (struct.isSetHeldTokens()) {
+        oprot.writeFieldBegin(HELD_TOKENS_FIELD_DESC);
+        oprot.writeI32(struct.heldTokens);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -544,6 +643,14 @@
       oprot.writeI32(struct.upstream);
       oprot.writeI32(struct.queuedTokens);
       oprot.writeI32(struct.runningSends);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetHeldTokens()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetHeldTokens()) {
+        oprot.writeI32(struct.heldTokens);
+      }
     }
 
     @Override
@@ -555,6 +662,11 @@
       struct.setQueuedTokensIsSet(true);
       struct.runningSends = iprot.readI32();
       struct.setRunningSendsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.heldTokens = iprot.readI32();
+        struct.setHeldTokensIsSet(true);
+      }
     }
   }
 
--- a/messages/src/main/thrift/messages.thrift
+++ b/messages/src/main/thrift/messages.thrift
@@ -145,6 +145,8 @@
   1: required i32 upstream;
   2: required i32 queuedTokens;
   3: required i32 runningSends;
+  /** Tokens of memory that the sends may take; absent in reports of earlier releases. */
+  4: optional i32 heldTokens;
 }
 
 /** Part of a prompt, with the caller's id. */
--- a/router/src/main/java/org/wigeonferry/router/LoadReportMessages.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadReportMessages.java
@@ -30,7 +30,8 @@
         for (OwnLoad load : report.loads()) {
             loads.add(
                     new UpstreamLoadMessage(
-                            load.upstreamKey(), load.queuedTokens(), load.runningSends()));
+                                    load.upstreamKey(), load.queuedTokens(), load.runningSends())
+                            .setHeldTokens(Math.min(MAX_TOKENS, load.heldTokens())));
         }
         List<SentPromptMessage> prompts = new ArrayList<>();
         for (SentPrompt prompt : report.prompts()) {
@@ -50,7 +51,8 @@
                     new OwnLoad(
                             load.getUpstream(),
                             checkRange(load.getQueuedTokens(), MAX_TOKENS),
-                            checkRange(load.getRunningSends(), MAX_SENDS)));
+                            checkRange(load.getRunningSends(), MAX_SENDS),
+                            checkRange(load.getHeldTokens(), MAX_TOKENS)));
         }
         List<SentPrompt> prompts = new ArrayList<>();
         for (SentPromptMessage prompt : message.getPrompts()) {
--- a/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
+++ b/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
@@ -70,7 +70,7 @@
                 new LoadReport(
                         "r",
                         7,
-                        List.of(new OwnLoad(-3, 4000, 2)),
+                        List.of(new OwnLoad(-3, 4000, 2, 9000)),
                         List.of(new SentPrompt(-3, "large", List.of(new PromptPart("5c1e", 800)))),
                         List.of(-3, 9));
         assertThat(LoadReportMessages.decode(LoadReportMessages.encode(report))).isEqualTo(report);
@@ -136,9 +136,10 @@
     void numbersOutOfRangeAreNoReport() throws Exception {
         for (OwnLoad odd :
                 List.of(
-                        new OwnLoad(1, -1, 1),
-                        new OwnLoad(1, Integer.MAX_VALUE, 1),
-                        new OwnLoad(1, 1, Integer.MAX_VALUE))) {
+                        new OwnLoad(1, -1, 1, 0),
+                        new OwnLoad(1, Integer.MAX_VALUE, 1, 0),
+                        new OwnLoad(1, 1, Integer.MAX_VALUE, 0),
+                        new OwnLoad(1, 1, 1, -1))) {
             byte[] datagram =
                     LoadReportMessages.encode(
                             new LoadReport("r", 7, List.of(odd), List.of(), List.of()));
--- a/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
@@ -56,6 +56,12 @@
         return sum == null ? 0 : sum.runningSends();
     }
 
+    /** Tokens of memory that the sends of the other routers may take at an upstream. */
+    int heldTokens(int upstreamKey) {
+        OwnLoad sum = sums.get(upstreamKey);
+        return sum == null ? 0 : sum.heldTokens();
+    }
+
     private void remove(String router) {
         PeerReport removed = reports.remove(router);
         if (removed != null) {
@@ -69,12 +75,14 @@
                 (key, sum) -> {
                     int tokens = (sum == null ? 0 : sum.queuedTokens());
                     int sends = (sum == null ? 0 : sum.runningSends());
+                    int held = (sum == null ? 0 : sum.heldTokens());
                     OwnLoad newSum =
                             new OwnLoad(
                                     key,
                                     tokens + sign * load.queuedTokens(),
-                                    sends + sign * load.runningSends());
-                    boolean empty = newSum.queuedTokens() == 0 && newSum.runningSends() == 0;
+                                    sends + sign * load.runningSends(),
+                                    held + sign * load.heldTokens());
+                    boolean empty = newSum.equals(new OwnLoad(key, 0, 0, 0));
                     return empty ? null : newSum;
                 });
     }
--- a/routing/src/main/java/org/wigeonferry/routing/RoutedRequest.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutedRequest.java
@@ -34,4 +34,9 @@
     public RoutedRequest {
         parts = List.copyOf(parts);
     }
+
+    /** Tokens of the prompt and of the longest answer; the greatest number if they are more. */
+    int maxTokens() {
+        return (int) Math.min(Integer.MAX_VALUE, (long) promptTokens + maxAnswerTokens);
+    }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/Send.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Send.java
@@ -16,6 +16,8 @@
  * @param timeLeft time from {@code startNanos} to the request's deadline
  * @param weightedUncachedTokens prompt tokens that the upstream probably does not have in its
  *     prefix cache, times the relative cost of the model
+ * @param heldTokens tokens of memory that the request may take at the upstream, prompt and answer
+ *     together
  * @param startNanos when the upstream was chosen, by {@link System#nanoTime}
  */
 public record Send(
@@ -26,5 +28,6 @@
         OptionalInt rank,
         Duration timeLeft,
         int weightedUncachedTokens,
+        int heldTokens,
         long startNanos)
         implements PlacementResult {}
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
@@ -157,6 +157,7 @@
                 OptionalInt.of(rank(job)),
                 Duration.ofNanos(job.deadlineNanos() - nowNanos),
                 weightedUncachedTokens(state, job, selection.model()),
+                job.request().maxTokens(),
                 nowNanos);
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -60,6 +60,7 @@
     private long lastSendNanos;
     private int runningSends;
     private long queuedTokens;
+    private long heldTokens;
     private double failureShare;
     private int consecutiveSuspensions;
     private long suspendedUntilNanos;
@@ -162,9 +163,14 @@
         return queuedTokens;
     }
 
+    /** Tokens of memory that the running sends may take. */
+    long heldTokens() {
+        return heldTokens;
+    }
+
     /** What this router has under way at the upstream. */
     OwnLoad ownLoad() {
-        return new OwnLoad(key, (int) Math.max(0, queuedTokens), runningSends);
+        return new OwnLoad(key, toInt(queuedTokens), runningSends, toInt(heldTokens));
     }
 
     /** Moving average of failures, from 0 to 1. */
@@ -192,6 +198,7 @@
     void onSend(Send send, RoutedRequest request, long nowNanos) {
         runningSends++;
         queuedTokens += send.weightedUncachedTokens();
+        heldTokens += send.heldTokens();
         recentSends.add(nowNanos);
         sendsForRateLimit.add(nowNanos);
         lastSendNanos = nowNanos;
@@ -234,6 +241,7 @@
             onResolved(report.send());
         }
         runningSends--;
+        heldTokens -= report.send().heldTokens();
         SendOutcome outcome = report.outcome();
         if (outcome == SendOutcome.ANSWERED) {
             consecutiveSuspensions = 0;
@@ -266,6 +274,10 @@
         lastLoadNanos = nowNanos;
     }
 
+    private static int toInt(long tokens) {
+        return (int) Math.max(0, Math.min(Integer.MAX_VALUE, tokens));
+    }
+
     private void suspend(long nowNanos) {
         long suspensionNanos =
                 FIRST_SUSPENSION.toNanos()
--- a/routing/src/test/java/org/wigeonferry/routing/PeerLoadsTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/PeerLoadsTest.java
@@ -16,40 +16,41 @@
 
     @Test
     void laterReportReplacesTheOneBefore() {
-        loads.apply("a", 1, List.of(new OwnLoad(7, 100, 2)), 0);
-        loads.apply("b", 1, List.of(new OwnLoad(7, 50, 1)), 0);
-        loads.apply("a", 2, List.of(new OwnLoad(8, 30, 1)), 0);
+        loads.apply("a", 1, List.of(new OwnLoad(7, 100, 2, 900)), 0);
+        loads.apply("b", 1, List.of(new OwnLoad(7, 50, 1, 400)), 0);
+        loads.apply("a", 2, List.of(new OwnLoad(8, 30, 1, 200)), 0);
         assertThat(loads.queuedTokens(7)).isEqualTo(50);
         assertThat(loads.runningSends(7)).isEqualTo(1);
+        assertThat(loads.heldTokens(7)).isEqualTo(400);
         assertThat(loads.queuedTokens(8)).isEqualTo(30);
     }
 
     @Test
     void reportThatArrivesLateIsIgnored() {
-        loads.apply("a", 2, List.of(new OwnLoad(7, 100, 2)), 0);
-        loads.apply("a", 1, List.of(new OwnLoad(7, 5, 1)), 0);
+        loads.apply("a", 2, List.of(new OwnLoad(7, 100, 2, 0)), 0);
+        loads.apply("a", 1, List.of(new OwnLoad(7, 5, 1, 0)), 0);
         assertThat(loads.queuedTokens(7)).isEqualTo(100);
     }
 
     /** A router that is gone, or cut off, must not hold back its share of an upstream for ever. */
     @Test
     void reportOfASilentRouterExpires() {
-        loads.apply("a", 1, List.of(new OwnLoad(7, 100, 2)), 0);
+        loads.apply("a", 1, List.of(new OwnLoad(7, 100, 2, 0)), 0);
         loads.expire(SECOND / 2);
         assertThat(loads.queuedTokens(7)).isEqualTo(100);
         loads.expire(2 * SECOND);
         assertThat(loads.queuedTokens(7)).isZero();
-        loads.apply("a", 1, List.of(new OwnLoad(7, 9, 1)), 2 * SECOND);
+        loads.apply("a", 1, List.of(new OwnLoad(7, 9, 1, 0)), 2 * SECOND);
         assertThat(loads.queuedTokens(7)).isEqualTo(9);
     }
 
     @Test
     void numberOfRoutersIsBounded() {
         for (int i = 0; i < 2 * PeerLoads.MAX_ROUTERS; i++) {
-            loads.apply("r" + i, 1, List.of(new OwnLoad(7, 1, 1)), 0);
+            loads.apply("r" + i, 1, List.of(new OwnLoad(7, 1, 1, 0)), 0);
         }
         assertThat(loads.queuedTokens(7)).isEqualTo(PeerLoads.MAX_ROUTERS);
-        loads.apply("r0", 2, List.of(new OwnLoad(7, 11, 1)), 0);
+        loads.apply("r0", 2, List.of(new OwnLoad(7, 11, 1, 0)), 0);
         assertThat(loads.queuedTokens(7)).isEqualTo(PeerLoads.MAX_ROUTERS + 10);
     }
 
@@ -64,7 +65,8 @@
                 List<OwnLoad> report = new ArrayList<>();
                 for (int upstream = 0; upstream < 5; upstream++) {
                     if (random.nextBoolean()) {
-                        report.add(new OwnLoad(upstream, random.nextInt(100), random.nextInt(3)));
+                        report.add(
+                                new OwnLoad(upstream, random.nextInt(100), random.nextInt(3), 0));
                     }
                 }
                 int router = random.nextInt(4);
--- a/routing/src/test/java/org/wigeonferry/routing/SilenceRuleTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SilenceRuleTest.java
@@ -86,6 +86,7 @@
                 OptionalInt.empty(),
                 Duration.ofSeconds(20),
                 PROMPT_TOKENS,
+                0,
                 nowNanos);
     }
 }
--- a/routing/src/test/java/org/wigeonferry/routing/SlowReleaseTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SlowReleaseTest.java
@@ -162,6 +162,7 @@
                 OptionalInt.empty(),
                 Duration.ofSeconds(10),
                 100,
+                0,
                 START_NANOS + 6 * Fixtures.NANOS_PER_SECOND + number * 100_000_000L);
     }
 }
--- a/routing/src/test/java/org/wigeonferry/routing/SlownessTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SlownessTest.java
@@ -18,6 +18,7 @@
                     OptionalInt.empty(),
                     Duration.ofSeconds(1),
                     2000,
+                    0,
                     0);
 
     private final Slowness slowness = new Slowness();
