Fail readiness checks while the configuration is stale and requests need keys

Cause: a router that the store turns away, or that is cut off from it, refuses every request with a key after 4.5 s, but stayed in rotation. Ruled out: a confirmation by other routers of the zone; a configuration that has changed meanwhile would have to be passed on as well, and its acknowledgement is bound to the store's answer. Change: readiness asks whether the configuration is recent enough, if it requires keys.

--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -223,9 +223,18 @@
         rollOutMonitor.onAllReportsRead();
     }
 
-    /** Whether the router can serve requests: it has a configuration and has read the upstreams. */
-    public boolean isReady() {
-        return state.config().isPresent() && allUpstreamsRead;
+    /**
+     * Whether the router can serve requests: it has read the upstreams, and has a configuration
+     * that is recent enough to trust its API keys if requests need them.
+     */
+    public boolean isReady(long wallMillis) {
+        return allUpstreamsRead
+                && state.config().filter(config -> canServe(config, wallMillis)).isPresent();
+    }
+
+    private boolean canServe(RoutingConfig config, long wallMillis) {
+        return !config.requiresKeys()
+                || state.freshness().isUpToDate(control.nanoTime(), wallMillis);
     }
 
     private void runChecks() {
--- a/router/src/main/java/org/wigeonferry/router/RouterServer.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterServer.java
@@ -7,8 +7,10 @@
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,6 +50,9 @@
     private static final Duration RESPONSE_TIME = Duration.ofMillis(400);
 
     private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
+    private static final int READY = 200;
+    private static final int NOT_READY = 503;
+    private static final byte[] EMPTY_BODY = {};
     private static final int MAX_CALLER_THREADS = 16;
     private static final int MIN_CALLER_THREADS = 4;
 
@@ -134,22 +139,18 @@
     }
 
     private Handler createReadinessAndMetricsHandler(NodeMetrics metrics) {
-        byte[] emptyBody = new byte[0];
         return new EndpointDispatcher()
                 .add("GET", "/metrics", MetricsEndpoints.textEndpoint(metrics.registry()))
                 .add(
                         "GET",
                         "/",
                         (request, response, callback) ->
-                                control.execute(
-                                        () ->
-                                                Replies.sendBytes(
-                                                        response,
-                                                        callback,
-                                                        routerControl.isReady() && !stopping
-                                                                ? 200
-                                                                : 503,
-                                                        emptyBody)));
+                                control.execute(() -> replyToReadinessCheck(response, callback)));
+    }
+
+    private void replyToReadinessCheck(Response response, Callback callback) {
+        boolean ready = !stopping && routerControl.isReady(System.currentTimeMillis());
+        Replies.sendBytes(response, callback, ready ? READY : NOT_READY, EMPTY_BODY);
     }
 
     private static Server start(QueuedThreadPool threads, HostAddress address, Handler handler)
