Place by predicted time where upstreams report a pace

Cause: the cost of an upstream counts tokens and requests only, so an engine of relative time 1.6 and one of 0.6 with the same queue cost the same, and a host slowed by 2.5 is used as if it were not. Change: package routing.prediction predicts the time to the first byte from learned speed, reported pace with its age, queue and round trip. Send carries the prediction; RoutingState.startEstimate gives the shortest one.

--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -68,6 +68,17 @@
         return false;
     }
 
+    /** Counts the end of a send; true if a suspect of its request is condemned from now on. */
+    boolean onSendEnd(Job job, String digest, SendReport report, long nowNanos) {
+        List<PromptPart> parts = job.request().parts();
+        if (report.provesHarmless(nowNanos)) {
+            onAnswer(digest, parts, nowNanos);
+            return false;
+        }
+        Incarnation upstream = report.send().upstream().incarnation();
+        return report.outcome() == SendOutcome.BROKEN && onCrash(digest, parts, upstream, nowNanos);
+    }
+
     /**
      * Counts the crash of an upstream that ended a send before its answer was well under way.
      *
--- a/routing/src/main/java/org/wigeonferry/routing/PrefixCacheEstimate.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PrefixCacheEstimate.java
@@ -1,5 +1,6 @@
 package org.wigeonferry.routing;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,12 +32,23 @@
 
     /** Tokens of the prompt's leading parts that are cached for a model. */
     int cachedTokens(String model, List<PromptPart> prompt) {
-        int cached = 0;
+        return cachedTokens(keys(model, prompt), prompt);
+    }
+
+    /** The keys of a prompt's parts, which are the same for the estimates of all upstreams. */
+    static List<String> keys(String model, List<PromptPart> prompt) {
+        List<String> keys = new ArrayList<>(prompt.size());
         for (PromptPart part : prompt) {
-            if (!parts.containsKey(key(model, part))) {
-                return cached;
-            }
-            cached += part.tokens();
+            keys.add(key(model, part));
+        }
+        return keys;
+    }
+
+    /** Tokens of the prompt's leading parts that are cached, by the keys of the parts. */
+    int cachedTokens(List<String> keys, List<PromptPart> prompt) {
+        int cached = 0;
+        for (int i = 0; i < keys.size() && parts.containsKey(keys.get(i)); i++) {
+            cached += prompt.get(i).tokens();
         }
         return cached;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/RoutedRequest.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutedRequest.java
@@ -35,6 +35,11 @@
         parts = List.copyOf(parts);
     }
 
+    /** The last part that other prompts may share; the last part of a prompt is its own. */
+    Optional<PromptPart> sharedPart() {
+        return parts.size() < 2 ? Optional.empty() : Optional.of(parts.get(parts.size() - 2));
+    }
+
     /** Tokens of the prompt and of the longest answer; the greatest number if they are more. */
     int maxTokens() {
         return (int) Math.min(Integer.MAX_VALUE, (long) promptTokens + maxAnswerTokens);
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import org.wigeonferry.routing.prediction.StartEstimate;
 
 /**
  * The state that routing decisions depend on, and the decisions on requests.
@@ -26,6 +28,7 @@
     private final UpstreamDirectory upstreams;
     private final RollOutTracker rollOuts;
     private final PeerLoads peerLoads = new PeerLoads();
+    private final ReceivedLoads receivedLoads = new ReceivedLoads();
     private final UpstreamSelector selector;
     private final PlacementRules placementRules;
     private final Map<String, ServiceState> services = new HashMap<>();
@@ -82,6 +85,11 @@
         return peerLoads;
     }
 
+    /** The loads that upstreams reported and that the zone's other routers are to be told. */
+    public ReceivedLoads receivedLoads() {
+        return receivedLoads;
+    }
+
     /** Sets what is called, on the control thread, after each choice of an upstream. */
     public void setSendListener(BiConsumer<Job, Send> listener) {
         sendListener = listener;
@@ -146,20 +154,9 @@
         if (!job.mayRunAgain()) {
             return refusalOrOutcomeUnknown(job, RefusalCause.NOT_RUN);
         }
-        ModelSelection selection =
-                modelSelector.select(
-                        job,
-                        stateOf(job.service())
-                                .mayRetryLowConfidence(
-                                        UpstreamSelector.rank(job),
-                                        nowNanos,
-                                        routers.assumedCount()));
-        UpstreamRule rule = commonRule();
-        Optional<UpstreamState> upstream =
-                rollOuts.upstreamRules(job, routers.assumedCount(), nowNanos).stream()
-                        .map(r -> selector.select(job, selection.model(), rule.and(r), nowNanos))
-                        .flatMap(Optional::stream)
-                        .findFirst();
+        ModelSelection selection = selectModel(job, nowNanos);
+        Optional<SelectedUpstream> upstream =
+                firstOver(job, nowNanos, r -> selector.select(job, selection.model(), r, nowNanos));
         if (upstream.isEmpty()) {
             return noUpstream(job, nowNanos);
         }
@@ -170,10 +167,19 @@
             return refusalOrOutcomeUnknown(job, RefusalCause.OVERLOADED);
         }
         Send send = UpstreamSelector.newSend(upstream.get(), job, selection, nowNanos);
-        recordSend(send, upstream.get(), job, nowNanos);
+        recordSend(send, upstream.get().state(), job, nowNanos);
         return send;
     }
 
+    /** How soon a job could get the first byte of its response, if it were sent now. */
+    public StartEstimate startEstimate() {
+        return (job, nowNanos) -> {
+            Optional<String> model = selectModel(job, nowNanos).model();
+            return firstOver(
+                    job, nowNanos, rule -> selector.shortestTime(job, model, rule, nowNanos));
+        };
+    }
+
     /**
      * Whether a job whose upstream is silent may be sent to another one: it may run again, the
      * upstream is probably not just busy, and the retry budget and an upstream allow it.
@@ -194,11 +200,7 @@
                                         answerBegun
                                                 ? SilenceRule.isStalled(
                                                         state, job.route(), silence, nowNanos)
-                                                : SilenceRule.isLost(
-                                                        state,
-                                                        send,
-                                                        service.waits(send.model()).value(),
-                                                        silence))
+                                                : service.isLost(state, send, silence))
                         .orElse(true);
         UpstreamRule rule = commonRule();
         return isGivenUp
@@ -209,13 +211,14 @@
 
     /** Records that response headers arrived, which shows that the prompt was processed. */
     public void onResponseHeaders(Send send, Optional<ReportedLoad> load, long nowNanos) {
-        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
-        ServiceState service = stateOf(send.upstream().service());
-        service.slowness().recordTimeToHeaders(elapsed, send, nowNanos);
-        service.waits(send.model()).record(elapsed.minus(Slowness.timeToProcess(send)));
+        stateOf(send.upstream().service()).onHeaders(send, nowNanos);
         upstreams
                 .state(send.upstream().incarnation())
-                .ifPresent(state -> state.onHeaders(send, load, nowNanos));
+                .ifPresent(
+                        state -> {
+                            load.ifPresent(l -> receivedLoads.record(state, l, nowNanos));
+                            state.onHeaders(send, load, nowNanos);
+                        });
     }
 
     /** Records the mean gap so far between the events of a running stream, and the last event. */
@@ -233,10 +236,7 @@
                 .state(send.upstream().incarnation())
                 .ifPresent(state -> state.onSendEnd(report, nowNanos));
         if (report.outcome() == SendOutcome.SILENT && !report.headersReceived()) {
-            Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
-            stateOf(send.upstream().service())
-                    .waits(send.model())
-                    .recordGivenUp(elapsed.minus(Slowness.timeToProcess(send)));
+            stateOf(send.upstream().service()).onGivenUp(send, nowNanos);
         }
         if (report.outcome().provedNotRun()) {
             job.onSendProvedNotRun();
@@ -248,19 +248,7 @@
             upstreams.remove(send.upstream().id(), nowNanos);
         }
         rollOuts.onSendEnd(report, job, upstreams.runningRequests(send.upstream()), nowNanos);
-        return recordPoisonEvidence(job, requestDigest, report, nowNanos);
-    }
-
-    private boolean recordPoisonEvidence(
-            Job job, String requestDigest, SendReport report, long nowNanos) {
-        List<PromptPart> parts = job.request().parts();
-        if (report.provesHarmless(nowNanos)) {
-            poisonRegister.onAnswer(requestDigest, parts, nowNanos);
-            return false;
-        }
-        Incarnation upstream = report.send().upstream().incarnation();
-        return report.outcome() == SendOutcome.BROKEN
-                && poisonRegister.onCrash(requestDigest, parts, upstream, nowNanos);
+        return poisonRegister.onSendEnd(job, requestDigest, report, nowNanos);
     }
 
     private static Refused refusalOrOutcomeUnknown(Job job, RefusalCause cause) {
@@ -273,6 +261,23 @@
                 refused.cause(), upstreams.soonestReturn(job.service(), routers, nowNanos));
     }
 
+    private ModelSelection selectModel(Job job, long nowNanos) {
+        ServiceState service = stateOf(job.service());
+        int rank = UpstreamSelector.rank(job);
+        return modelSelector.select(
+                job, service.mayRetryLowConfidence(rank, nowNanos, routers.assumedCount()));
+    }
+
+    /** The first result over the rules for a job's upstream, which start with the preferred one. */
+    private <T> Optional<T> firstOver(
+            Job job, long nowNanos, Function<UpstreamRule, Optional<T>> choice) {
+        UpstreamRule rule = commonRule();
+        return rollOuts.upstreamRules(job, routers.assumedCount(), nowNanos).stream()
+                .map(r -> choice.apply(rule.and(r)))
+                .flatMap(Optional::stream)
+                .findFirst();
+    }
+
     private UpstreamRule commonRule() {
         return placementRules.all(config, routers);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/Send.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Send.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.wigeonferry.routing.prediction.Prediction;
 
 /**
  * One attempt to run a request on an upstream.
@@ -19,6 +20,8 @@
  * @param heldTokens tokens of memory that the request may take at the upstream, prompt and answer
  *     together
  * @param startNanos when the upstream was chosen, by {@link System#nanoTime}
+ * @param prediction the time to the first byte that is expected; empty if no response of the
+ *     service has been seen
  */
 public record Send(
         UpstreamInstance upstream,
@@ -29,5 +32,6 @@
         Duration timeLeft,
         int weightedUncachedTokens,
         int heldTokens,
-        long startNanos)
+        long startNanos,
+        Optional<Prediction> prediction)
         implements PlacementResult {}
--- a/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
@@ -31,6 +31,24 @@
         retryBudget = new SlidingWindowRetryBudget(limits);
     }
 
+    /** Records that the response headers of a send arrived. */
+    void onHeaders(Send send, long nowNanos) {
+        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
+        slowness.recordTimeToHeaders(elapsed, send, nowNanos);
+        waits(send.model()).record(elapsed.minus(Slowness.timeToProcess(send)));
+    }
+
+    /** Records that a send was given up before its response headers arrived. */
+    void onGivenUp(Send send, long nowNanos) {
+        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
+        waits(send.model()).recordGivenUp(elapsed.minus(Slowness.timeToProcess(send)));
+    }
+
+    /** Whether a send that has waited for so long for its response headers is probably lost. */
+    boolean isLost(UpstreamState state, Send send, Duration waited) {
+        return SilenceRule.isLost(state, send, waits(send.model()).value(), waited);
+    }
+
     SlidingWindowRetryBudget retryBudget() {
         return retryBudget;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Stream;
+import org.wigeonferry.routing.prediction.ServiceSpeed;
 
 /**
  * The known upstreams.
@@ -29,6 +30,8 @@
     private final UpstreamNotices notices = new UpstreamNotices();
     private final EnginePartition enginePartition = new EnginePartition();
     private boolean enginePartitionCurrent;
+    private final Map<String, ServiceSpeed> serviceSpeeds = new HashMap<>();
+    private long membershipChanges;
     private long graceEndNanos;
     private boolean storeRecovered;
 
@@ -80,6 +83,31 @@
                 .toList();
     }
 
+    /** Records the loads that another router received from upstreams that are known. */
+    public void recordForwardedLoads(Collection<AgedLoad> loads, long nowNanos) {
+        if (loads.isEmpty()) {
+            return;
+        }
+        Map<Integer, AgedLoad> byKey = new HashMap<>();
+        loads.forEach(load -> byKey.put(load.upstreamKey(), load));
+        for (UpstreamState state : upstreamStates.values()) {
+            AgedLoad load = byKey.get(state.key());
+            if (load != null) {
+                state.onForwardedLoad(load.load(), nowNanos - load.age().toNanos(), nowNanos);
+            }
+        }
+    }
+
+    /** The typical speed of a service's upstreams. */
+    ServiceSpeed serviceSpeed(String service) {
+        return serviceSpeeds.computeIfAbsent(service, key -> new ServiceSpeed());
+    }
+
+    /** Rises each time an incarnation is added or removed. */
+    long membershipChanges() {
+        return membershipChanges;
+    }
+
     private Stream<UpstreamState> statesWithKey(int key) {
         return upstreamStates.values().stream().filter(state -> state.key() == key);
     }
@@ -113,6 +141,7 @@
         removalNanosById.remove(upstream.id());
         if (state == null || !state.instance().incarnation().equals(upstream.incarnation())) {
             upstreamStates.put(upstream.id(), newState(upstream, history, nowNanos));
+            membershipChanges++;
             notices.onIncarnation(upstream.incarnation());
             enginePartitionCurrent = false;
             return true;
@@ -134,6 +163,7 @@
 
     private void removeNow(String id, long nowNanos) {
         upstreamStates.remove(id);
+        membershipChanges++;
         enginePartitionCurrent = false;
         Optional.ofNullable(histories.get(id)).ifPresent(history -> history.remove(nowNanos));
     }
@@ -212,7 +242,8 @@
 
     private UpstreamState newState(
             UpstreamInstance upstream, UpstreamHistory history, long nowNanos) {
-        UpstreamState state = new UpstreamState(upstream, history, nowNanos);
+        UpstreamState state =
+                new UpstreamState(upstream, history, serviceSpeed(upstream.service()), nowNanos);
         state.setServiceTraits(serviceTraits(upstream));
         return state;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
@@ -7,7 +7,8 @@
 import java.util.OptionalInt;
 
 /**
- * Chooses the upstream with the lowest estimated cost for a job.
+ * Chooses the upstream with the lowest estimated cost for a job; for services whose upstreams
+ * report a pace, leaves the choice to {@link PredictedTimeSelector}.
  *
  * <p>The cost, in prompt tokens, is the work that the job adds and the work that is queued before
  * it, with surcharges for other zones, mixed models and failures. Owned by the control thread.
@@ -26,16 +27,16 @@
     private static final double FAILURE_COST_TOKENS = 30_000;
 
     /** Cost of running small and large models on one engine, in prompt tokens per request. */
-    private static final double MIXED_MODELS_COST_TOKENS = 5_000;
+    static final double MIXED_MODELS_COST_TOKENS = 5_000;
 
     /** Failure shares up to this one add no cost. */
-    private static final double IGNORED_FAILURE_SHARE = 0.25;
+    static final double IGNORED_FAILURE_SHARE = 0.25;
 
     /**
      * Share of the mean queue in the own zone that is assumed at the upstreams of other zones,
      * whose routers send no reports.
      */
-    private static final double ASSUMED_QUEUE_SHARE_IN_OTHER_ZONES = 0.5;
+    static final double ASSUMED_QUEUE_SHARE_IN_OTHER_ZONES = 0.5;
 
     /**
      * Largest random part of the cost, as a share of the tokens that the job adds. Routers that see
@@ -46,15 +47,36 @@
     private final String zone;
     private final UpstreamDirectory directory;
     private final PeerLoads peerLoads;
+    private final PredictedTimeSelector byPredictedTime;
 
     UpstreamSelector(String zone, UpstreamDirectory directory, PeerLoads peerLoads) {
         this.zone = zone;
         this.directory = directory;
         this.peerLoads = peerLoads;
+        byPredictedTime = new PredictedTimeSelector(zone, directory, peerLoads);
     }
 
-    /** The cheapest upstream that the rule allows; a suspended one only if all are suspended. */
-    Optional<UpstreamState> select(
+    /** The best upstream that the rule allows; a suspended one only if all are suspended. */
+    Optional<SelectedUpstream> select(
+            Job job, Optional<String> model, UpstreamRule rule, long nowNanos) {
+        if (directory.serviceSpeed(job.service()).reportsPace(nowNanos)) {
+            return byPredictedTime.select(job, model, rule, nowNanos);
+        }
+        return cheapest(job, model, rule, nowNanos)
+                .map(
+                        state ->
+                                new SelectedUpstream(
+                                        state,
+                                        byPredictedTime.predict(state, job, model, nowNanos)));
+    }
+
+    /** The shortest predicted time to the first byte over the upstreams that the rule allows. */
+    Optional<Duration> shortestTime(
+            Job job, Optional<String> model, UpstreamRule rule, long nowNanos) {
+        return byPredictedTime.shortestTime(job, model, rule, nowNanos);
+    }
+
+    private Optional<UpstreamState> cheapest(
             Job job, Optional<String> model, UpstreamRule rule, long nowNanos) {
         List<UpstreamState> candidates =
                 directory.upstreamStates().stream()
@@ -105,8 +127,7 @@
     }
 
     /** The uncached tokens, times the model's cost relative to the most expensive model. */
-    private static int weightedUncachedTokens(
-            UpstreamState state, Job job, Optional<String> model) {
+    static int weightedUncachedTokens(UpstreamState state, Job job, Optional<String> model) {
         double weight = model.map(state::relativeCost).orElse(1.0);
         return (int) Math.round(uncachedTokens(state, job, model) * weight);
     }
@@ -139,16 +160,18 @@
      * the request's own.
      */
     private double affinityDiscountTokens(UpstreamState state, Job job, Optional<String> model) {
-        List<PromptPart> parts = job.request().parts();
-        if (parts.size() < 2 || model.isEmpty()) {
+        Optional<PromptPart> sharedPart = job.request().sharedPart();
+        if (sharedPart.isEmpty() || model.isEmpty()) {
             return 0;
         }
-        PromptPart shared = parts.get(parts.size() - 2);
+        PromptPart shared = sharedPart.get();
         double sample = Hashes.fraction(shared.id() + '@' + state.instance().id());
         return sample * shared.tokens() * model.map(state::relativeCost).orElse(1.0) / 2;
     }
 
-    static Send newSend(UpstreamState state, Job job, ModelSelection selection, long nowNanos) {
+    static Send newSend(
+            SelectedUpstream selected, Job job, ModelSelection selection, long nowNanos) {
+        UpstreamState state = selected.state();
         return new Send(
                 state.instance(),
                 job.account().map(Account::name),
@@ -158,7 +181,8 @@
                 Duration.ofNanos(job.deadlineNanos() - nowNanos),
                 weightedUncachedTokens(state, job, selection.model()),
                 job.request().maxTokens(),
-                nowNanos);
+                nowNanos,
+                selected.prediction());
     }
 
     /** Urgency of a job: the account's rank, or else the route's; 0 is the most urgent. */
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.wigeonferry.routing.prediction.ServiceSpeed;
+import org.wigeonferry.routing.prediction.UpstreamSpeed;
 
 /**
  * What this router knows about an upstream: its registration, and running and recent sends to it.
@@ -16,21 +18,9 @@
     /** Token capacity of upstreams whose service has no engine traits. */
     private static final int DEFAULT_CAPACITY_TOKENS = 200_000;
 
-    /**
-     * How long an upstream is suspended after an outcome of NOT_SENT, BROKEN or SILENT. Doubles
-     * with each such outcome, at most {@link #MAX_SUSPENSION_DOUBLINGS} times, until an ANSWERED
-     * one.
-     */
-    private static final Duration FIRST_SUSPENSION = Duration.ofMillis(400);
-
-    private static final int MAX_SUSPENSION_DOUBLINGS = 3;
-
     /** Weight of the newest outcome in the moving average of failures. */
     private static final double NEW_OUTCOME_WEIGHT = 0.15;
 
-    /** How long the load that an upstream reported is used. */
-    private static final Duration REPORTED_LOAD_TTL = Duration.ofSeconds(1);
-
     /** Window of the count of sends that the limit for cold upstreams applies to. */
     static final Duration COLD_RATE_WINDOW = Duration.ofSeconds(1);
 
@@ -62,23 +52,28 @@
     private long queuedTokens;
     private long heldTokens;
     private double failureShare;
-    private int consecutiveSuspensions;
-    private long suspendedUntilNanos;
-    private Optional<ReportedLoad> lastLoad = Optional.empty();
-    private long lastLoadNanos;
+    private final Suspension suspension;
+    private final LatestLoad latestLoad = new LatestLoad();
+    private final UpstreamSpeed speed;
 
     /**
      * Creates the state of an incarnation that nothing was sent to.
      *
      * @param history counts the sends to all incarnations of the upstream, as a router may have
      *     sent to this one before it knew of it
+     * @param serviceSpeed speed that is assumed until the upstream's own is known
      */
-    UpstreamState(UpstreamInstance instance, UpstreamHistory history, long nowNanos) {
+    UpstreamState(
+            UpstreamInstance instance,
+            UpstreamHistory history,
+            ServiceSpeed serviceSpeed,
+            long nowNanos) {
         key = Hashes.key(instance.id());
         this.instance = instance;
+        speed = new UpstreamSpeed(serviceSpeed);
         recentSends = history.recentSends();
         possibleRestart = history.possibleRestart();
-        suspendedUntilNanos = nowNanos;
+        suspension = new Suspension(nowNanos);
         lastSendNanos = nowNanos;
         coldUntilNanos = nowNanos + instance.coldTimeLeft().toNanos();
     }
@@ -151,7 +146,7 @@
     }
 
     boolean isSuspended(long nowNanos) {
-        return suspendedUntilNanos - nowNanos > 0;
+        return suspension.isOn(nowNanos);
     }
 
     int runningSends() {
@@ -182,17 +177,19 @@
         return prefixCache.cachedTokens(model, request.parts());
     }
 
+    /** The same with the keys that {@link PrefixCacheEstimate#keys} prepared for all upstreams. */
+    int cachedTokens(List<String> keys, List<PromptPart> parts) {
+        return prefixCache.cachedTokens(keys, parts);
+    }
+
     /** Requests of other routers that run or wait at this upstream; 0 without a recent report. */
     int requestsOfOtherRouters(long nowNanos) {
-        if (lastLoad.isEmpty() || nowNanos - lastLoadNanos > REPORTED_LOAD_TTL.toNanos()) {
-            return 0;
-        }
-        return Math.max(0, lastLoad.get().running() + lastLoad.get().waiting() - runningSends);
+        return latestLoad.requestsBeyond(runningSends, nowNanos);
     }
 
     /** Requests that the upstream ran when it last told so, or else those of this router. */
     int lastKnownRunning() {
-        return lastLoad.map(ReportedLoad::running).orElse(runningSends);
+        return latestLoad.running().orElse(runningSends);
     }
 
     void onSend(Send send, RoutedRequest request, long nowNanos) {
@@ -228,7 +225,24 @@
     void onHeaders(Send send, Optional<ReportedLoad> reportedLoad, long nowNanos) {
         onResolved(send);
         possibleRestart.onAnswer(send.startNanos(), coldDuration, nowNanos);
-        reportedLoad.ifPresent(value -> recordLoad(value, nowNanos));
+        reportedLoad.ifPresent(
+                value -> {
+                    latestLoad.recordOwn(value, nowNanos);
+                    speed.recordPace(value.pacePercent(), nowNanos, nowNanos);
+                });
+        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
+        send.prediction().ifPresent(prediction -> speed.onFirstByte(prediction, elapsed, nowNanos));
+    }
+
+    /** Records a load that another router received. */
+    void onForwardedLoad(ReportedLoad load, long receivedNanos, long nowNanos) {
+        latestLoad.recordForwarded(load, receivedNanos);
+        speed.recordPace(load.pacePercent(), receivedNanos, nowNanos);
+    }
+
+    /** Predicts the time to the first byte of a response. */
+    UpstreamSpeed speed() {
+        return speed;
     }
 
     /** Records when the last event of a running stream came. */
@@ -244,7 +258,7 @@
         heldTokens -= report.send().heldTokens();
         SendOutcome outcome = report.outcome();
         if (outcome == SendOutcome.ANSWERED) {
-            consecutiveSuspensions = 0;
+            suspension.onAnswer();
         }
         if (outcome.isCompleteAnswer()) {
             possibleRestart.onAnswer(report.send().startNanos(), coldDuration, nowNanos);
@@ -255,7 +269,7 @@
         if (outcome == SendOutcome.NOT_SENT
                 || outcome == SendOutcome.BROKEN
                 || outcome == SendOutcome.SILENT) {
-            suspend(nowNanos);
+            suspension.onLoss(nowNanos);
             possibleRestart.onOwnLoss(outcome == SendOutcome.NOT_SENT, nowNanos);
         }
     }
@@ -269,20 +283,7 @@
         }
     }
 
-    private void recordLoad(ReportedLoad value, long nowNanos) {
-        lastLoad = Optional.of(value);
-        lastLoadNanos = nowNanos;
-    }
-
     private static int toInt(long tokens) {
         return (int) Math.max(0, Math.min(Integer.MAX_VALUE, tokens));
     }
-
-    private void suspend(long nowNanos) {
-        long suspensionNanos =
-                FIRST_SUSPENSION.toNanos()
-                        << Math.min(consecutiveSuspensions, MAX_SUSPENSION_DOUBLINGS);
-        suspendedUntilNanos = nowNanos + suspensionNanos;
-        consecutiveSuspensions++;
-    }
 }
--- a/routing/src/test/java/org/wigeonferry/routing/SilenceRuleTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SilenceRuleTest.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.wigeonferry.routing.prediction.ServiceSpeed;
 
 class SilenceRuleTest {
     private static final long START_NANOS = 1000 * Fixtures.NANOS_PER_SECOND;
@@ -53,6 +54,7 @@
                 new UpstreamState(
                         Fixtures.upstream("e", "model"),
                         new UpstreamHistory(START_NANOS),
+                        new ServiceSpeed(),
                         START_NANOS);
         Duration allowed = chat.maxEventGap();
         assertThat(isStalled(engine, allowed)).isFalse();
@@ -87,6 +89,7 @@
                 Duration.ofSeconds(20),
                 PROMPT_TOKENS,
                 0,
-                nowNanos);
+                nowNanos,
+                Optional.empty());
     }
 }
--- a/routing/src/test/java/org/wigeonferry/routing/SlowReleaseTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SlowReleaseTest.java
@@ -163,6 +163,7 @@
                 Duration.ofSeconds(10),
                 100,
                 0,
-                START_NANOS + 6 * Fixtures.NANOS_PER_SECOND + number * 100_000_000L);
+                START_NANOS + 6 * Fixtures.NANOS_PER_SECOND + number * 100_000_000L,
+                Optional.empty());
     }
 }
--- a/routing/src/test/java/org/wigeonferry/routing/SlownessTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/SlownessTest.java
@@ -19,7 +19,8 @@
                     Duration.ofSeconds(1),
                     2000,
                     0,
-                    0);
+                    0,
+                    Optional.empty());
 
     private final Slowness slowness = new Slowness();
 
