--- a/measurements/src/main/java/org/wigeonferry/measurements/LogCostMain.java
+++ b/measurements/src/main/java/org/wigeonferry/measurements/LogCostMain.java
@@ -63,6 +63,7 @@
                 .addKeyValue("left_ms", 963)
                 .addKeyValue("unread_tokens", number)
                 .addKeyValue("session", "")
+                .addKeyValue("predicted_ms", 84)
                 .log("placed");
     }
 
--- a/messages/src/main/java/org/wigeonferry/messages/gen/RouterLoadMessage.java
+++ b/messages/src/main/java/org/wigeonferry/messages/gen/RouterLoadMessage.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField LOST_UPSTREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("lostUpstreams", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField FORWARDED_LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("forwardedLoads", org.apache.thrift.protocol.TType.LIST, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RouterLoadMessageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RouterLoadMessageTupleSchemeFactory();
@@ -28,6 +29,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<UpstreamLoadMessage> loads; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<SentPromptMessage> prompts; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> lostUpstreams; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<ForwardedLoadMessage> forwardedLoads; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -35,7 +37,11 @@
     SEQUENCE((short)2, "sequence"),
     LOADS((short)3, "loads"),
     PROMPTS((short)4, "prompts"),
-    LOST_UPSTREAMS((short)5, "lostUpstreams");
+    LOST_UPSTREAMS((short)5, "lostUpstreams"),
+    /**
+     * Received since the message before; absent in reports of earlier releases.
+     */
+    FORWARDED_LOADS((short)6, "forwardedLoads");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -61,6 +67,8 @@
           return PROMPTS;
         case 5: // LOST_UPSTREAMS
           return LOST_UPSTREAMS;
+        case 6: // FORWARDED_LOADS
+          return FORWARDED_LOADS;
         default:
           return null;
       }
@@ -106,7 +114,7 @@
   // isset id assignments
   private static final int __SEQUENCE_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.LOST_UPSTREAMS};
+  private static final _Fields optionals[] = {_Fields.LOST_UPSTREAMS,_Fields.FORWARDED_LOADS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -123,6 +131,9 @@
     tmpMap.put(_Fields.LOST_UPSTREAMS, new org.apache.thrift.meta_data.FieldMetaData("lostUpstreams", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+    tmpMap.put(_Fields.FORWARDED_LOADS, new org.apache.thrift.meta_data.FieldMetaData("forwardedLoads", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ForwardedLoadMessage.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RouterLoadMessage.class, metaDataMap);
   }
@@ -171,6 +182,13 @@
       java.util.List<java.lang.Integer> __this__lostUpstreams = new java.util.ArrayList<java.lang.Integer>(other.lostUpstreams);
       this.lostUpstreams = __this__lostUpstreams;
     }
+    if (other.isSetForwardedLoads()) {
+      java.util.List<ForwardedLoadMessage> __this__forwardedLoads = new java.util.ArrayList<ForwardedLoadMessage>(other.forwardedLoads.size());
+      for (ForwardedLoadMessage other_element : other.forwardedLoads) {
+        __this__forwardedLoads.add(new ForwardedLoadMessage(other_element));
+      }
+      this.forwardedLoads = __this__forwardedLoads;
+    }
   }
 
   @Override
@@ -186,6 +204,7 @@
     this.loads = null;
     this.prompts = null;
     this.lostUpstreams = null;
+    this.forwardedLoads = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -359,6 +378,53 @@
     }
   }
 
+  public int getForwardedLoadsSize() {
+    return (this.forwardedLoads == null) ? 0 : this.forwardedLoads.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<ForwardedLoadMessage> getForwardedLoadsIterator() {
+    return (this.forwardedLoads == null) ? null : this.forwardedLoads.iterator();
+  }
+
+  public void addToForwardedLoads(ForwardedLoadMessage elem) {
+    if (this.forwardedLoads == null) {
+      this.forwardedLoads = new java.util.ArrayList<ForwardedLoadMessage>();
+    }
+    this.forwardedLoads.add(elem);
+  }
+
+  /**
+   * Received since the message before; absent in reports of earlier releases.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<ForwardedLoadMessage> getForwardedLoads() {
+    return this.forwardedLoads;
+  }
+
+  /**
+   * Received since the message before; absent in reports of earlier releases.
+   */
+  public RouterLoadMessage setForwardedLoads(@org.apache.thrift.annotation.Nullable java.util.List<ForwardedLoadMessage> forwardedLoads) {
+    this.forwardedLoads = forwardedLoads;
+    return this;
+  }
+
+  public void unsetForwardedLoads() {
+    this.forwardedLoads = null;
+  }
+
+  /** Returns true if field forwardedLoads is set (has been assigned a value) and false otherwise */
+  public boolean isSetForwardedLoads() {
+    return this.forwardedLoads != null;
+  }
+
+  public void setForwardedLoadsIsSet(boolean value) {
+    if (!value) {
+      this.forwardedLoads = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -402,6 +468,14 @@
       }
       break;
 
+    case FORWARDED_LOADS:
+      if (value == null) {
+        unsetForwardedLoads();
+      } else {
+        setForwardedLoads((java.util.List<ForwardedLoadMessage>)value);
+      }
+      break;
+
     }
   }
 
@@ -424,6 +498,9 @@
     case LOST_UPSTREAMS:
       return getLostUpstreams();
 
+    case FORWARDED_LOADS:
+      return getForwardedLoads();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -446,6 +523,8 @@
       return isSetPrompts();
     case LOST_UPSTREAMS:
       return isSetLostUpstreams();
+    case FORWARDED_LOADS:
+      return isSetForwardedLoads();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -508,6 +587,15 @@
         return false;
     }
 
+    boolean this_present_forwardedLoads = true && this.isSetForwardedLoads();
+    boolean that_present_forwardedLoads = true && that.isSetForwardedLoads();
+    if (this_present_forwardedLoads || that_present_forwardedLoads) {
+      if (!(this_present_forwardedLoads && that_present_forwardedLoads))
+        return false;
+      if (!this.forwardedLoads.equals(that.forwardedLoads))
+        return false;
+    }
+
     return true;
   }
 
@@ -533,6 +621,10 @@
     if (isSetLostUpstreams())
       hashCode = hashCode * 8191 + lostUpstreams.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetForwardedLoads()) ? 131071 : 524287);
+    if (isSetForwardedLoads())
+      hashCode = hashCode * 8191 + forwardedLoads.hashCode();
+
     return hashCode;
   }
 
@@ -594,6 +686,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetForwardedLoads(), other.isSetForwardedLoads());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetForwardedLoads()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.forwardedLoads, other.forwardedLoads);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -655,6 +757,16 @@
       }
       first = false;
     }
+    if (isSetForwardedLoads()) {
+      if (!first) sb.append(", ");
+      sb.append("forwardedLoads:");
+      if (this.forwardedLoads == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.forwardedLoads);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -784,6 +896,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // FORWARDED_LOADS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list73 = iprot.readListBegin();
+                struct.forwardedLoads = new java.util.ArrayList<ForwardedLoadMessage>(_list73.size);
+                @org.apache.thrift.annotation.Nullable ForwardedLoadMessage _elem74;
+                for (int _i75 = 0; _i75 < _list73.size; ++_i75)
+                {
+                  _elem74 = new ForwardedLoadMessage();
+                  _elem74.read(iprot);
+                  struct.forwardedLoads.add(_elem74);
+                }
+                iprot.readListEnd();
+              }
+              struct.setForwardedLoadsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -815,9 +946,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (UpstreamLoadMessage _iter73 : struct.loads)
+          for (UpstreamLoadMessage _iter76 : struct.loads)
           {
-            _iter73.write(oprot);
+            _iter76.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -827,9 +958,9 @@
         oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-          for (SentPromptMessage _iter74 : struct.prompts)
+          for (SentPromptMessage _iter77 : struct.prompts)
           {
-            _iter74.write(oprot);
+            _iter77.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -840,9 +971,23 @@
           oprot.writeFieldBegin(LOST_UPSTREAMS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.lostUpstreams.size()));
-            for (int _iter75 : struct.lostUpstreams)
+            for (int _iter78 : struct.lostUpstreams)
             {
-              oprot.writeI32(_iter75);
+              oprot.writeI32(_iter78);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.forwardedLoads != null) {
+        if (struct.isSetForwardedLoads()) {
+          oprot.writeFieldBegin(FORWARDED_LOADS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.forwardedLoads.size()));
+            for (ForwardedLoadMessage _iter79 : struct.forwardedLoads)
+            {
+              _iter79.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -871,29 +1016,41 @@
       oprot.writeI64(struct.sequence);
       {
         oprot.writeI32(struct.loads.size());
-        for (UpstreamLoadMessage _iter76 : struct.loads)
+        for (UpstreamLoadMessage _iter80 : struct.loads)
         {
-          _iter76.write(oprot);
+          _iter80.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.prompts.size());
-        for (SentPromptMessage _iter77 : struct.prompts)
+        for (SentPromptMessage _iter81 : struct.prompts)
         {
-          _iter77.write(oprot);
+          _iter81.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetLostUpstreams()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetForwardedLoads()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetLostUpstreams()) {
         {
           oprot.writeI32(struct.lostUpstreams.size());
-          for (int _iter78 : struct.lostUpstreams)
+          for (int _iter82 : struct.lostUpstreams)
           {
-            oprot.writeI32(_iter78);
+            oprot.writeI32(_iter82);
+          }
+        }
+      }
+      if (struct.isSetForwardedLoads()) {
+        {
+          oprot.writeI32(struct.forwardedLoads.size());
+          for (ForwardedLoadMessage _iter83 : struct.forwardedLoads)
+          {
+            _iter83.write(oprot);
           }
         }
       }
@@ -907,43 +1064,57 @@
       struct.sequence = iprot.readI64();
       struct.setSequenceIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list79 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list79.size);
-        @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem80;
-        for (int _i81 = 0; _i81 < _list79.size; ++_i81)
+        org.apache.thrift.protocol.TList _list84 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<UpstreamLoadMessage>(_list84.size);
+        @org.apache.thrift.annotation.Nullable UpstreamLoadMessage _elem85;
+        for (int _i86 = 0; _i86 < _list84.size; ++_i86)
         {
-          _elem80 = new UpstreamLoadMessage();
-          _elem80.read(iprot);
-          struct.loads.add(_elem80);
+          _elem85 = new UpstreamLoadMessage();
+          _elem85.read(iprot);
+          struct.loads.add(_elem85);
         }
       }
       struct.setLoadsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list82 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.prompts = new java.util.ArrayList<SentPromptMessage>(_list82.size);
-        @org.apache.thrift.annotation.Nullable SentPromptMessage _elem83;
-        for (int _i84 = 0; _i84 < _list82.size; ++_i84)
+        org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.prompts = new java.util.ArrayList<SentPromptMessage>(_list87.size);
+        @org.apache.thrift.annotation.Nullable SentPromptMessage _elem88;
+        for (int _i89 = 0; _i89 < _list87.size; ++_i89)
         {
-          _elem83 = new SentPromptMessage();
-          _elem83.read(iprot);
-          struct.prompts.add(_elem83);
+          _elem88 = new SentPromptMessage();
+          _elem88.read(iprot);
+          struct.prompts.add(_elem88);
         }
       }
       struct.setPromptsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-          struct.lostUpstreams = new java.util.ArrayList<java.lang.Integer>(_list85.size);
-          int _elem86;
-          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+          org.apache.thrift.protocol.TList _list90 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.lostUpstreams = new java.util.ArrayList<java.lang.Integer>(_list90.size);
+          int _elem91;
+          for (int _i92 = 0; _i92 < _list90.size; ++_i92)
           {
-            _elem86 = iprot.readI32();
-            struct.lostUpstreams.add(_elem86);
+            _elem91 = iprot.readI32();
+            struct.lostUpstreams.add(_elem91);
           }
         }
         struct.setLostUpstreamsIsSet(true);
       }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.forwardedLoads = new java.util.ArrayList<ForwardedLoadMessage>(_list93.size);
+          @org.apache.thrift.annotation.Nullable ForwardedLoadMessage _elem94;
+          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          {
+            _elem94 = new ForwardedLoadMessage();
+            _elem94.read(iprot);
+            struct.forwardedLoads.add(_elem94);
+          }
+        }
+        struct.setForwardedLoadsIsSet(true);
+      }
     }
   }
 
--- a/messages/src/main/thrift/messages.thrift
+++ b/messages/src/main/thrift/messages.thrift
@@ -162,6 +162,19 @@
   3: required list<PromptPartMessage> parts;
 }
 
+/**
+ * The load that an upstream reported to the sender, with the time since the sender received it; the
+ * upstream is a hash of its id.
+ */
+struct ForwardedLoadMessage {
+  1: required i32 upstream;
+  2: required i32 running;
+  3: required i32 waiting;
+  4: required i32 slots;
+  5: optional i32 pacePercent;
+  6: required i32 ageMillis;
+}
+
 /**
  * All that one router has under way, which a higher sequence replaces, and the prompts that it sent
  * and the upstreams that it lost since the message before.
@@ -172,4 +185,6 @@
   3: required list<UpstreamLoadMessage> loads;
   4: required list<SentPromptMessage> prompts;
   5: optional list<i32> lostUpstreams;
+  /** Received since the message before; absent in reports of earlier releases. */
+  6: optional list<ForwardedLoadMessage> forwardedLoads;
 }
--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -17,6 +17,7 @@
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
 import org.wigeonferry.routing.UpstreamAnnouncement;
+import org.wigeonferry.routing.prediction.Prediction;
 
 /**
  * Logs the decisions on one call and its outcome, and updates the metrics.
@@ -39,6 +40,7 @@
         this.startNanos = startNanos;
     }
 
+    /** Logs a send; {@code predicted_ms} is -1 if no response of the service has been seen. */
     void logPlaced(Send send) {
         newLogEvent(Level.INFO)
                 .addKeyValue("upstream", send.upstream().id())
@@ -49,6 +51,12 @@
                 .addKeyValue("left_ms", send.timeLeft().toMillis())
                 .addKeyValue("unread_tokens", send.weightedUncachedTokens())
                 .addKeyValue("session", job.request().sessionId().orElse(""))
+                .addKeyValue(
+                        "predicted_ms",
+                        send.prediction()
+                                .filter(Prediction::learned)
+                                .map(p -> p.time().toMillis())
+                                .orElse(-1L))
                 .log("placed");
     }
 
@@ -66,6 +74,7 @@
             Optional<Throwable> cause) {
         SendOutcome outcome = report.outcome();
         metrics.count("sends_" + lowerCase(outcome.name()), "service", job.service());
+        recordPredictionRatio(report);
         LoggingEventBuilder event = newLogEvent(outcome.isFailure() ? Level.WARN : Level.INFO);
         if (!outcome.isCompleteAnswer()) {
             event = event.addKeyValue("parts", partIds());
@@ -84,6 +93,16 @@
                 .log("send ended");
     }
 
+    /** Records how many percent of the predicted time passed before the first byte. */
+    private void recordPredictionRatio(SendReport report) {
+        Optional<Prediction> prediction = report.send().prediction().filter(Prediction::learned);
+        Optional<Duration> observed = report.timeToFirstByte();
+        if (prediction.isPresent() && observed.isPresent()) {
+            long percent = Math.round(100 * prediction.get().ratioOf(observed.get()));
+            metrics.recordValue("predicted_time_percent", "service", job.service(), percent);
+        }
+    }
+
     void recordTimeToFirstEvent() {
         metrics.recordDuration("first_answer", "route", job.route().name(), elapsed());
     }
--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -10,6 +10,7 @@
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.messages.CodecException;
 import org.wigeonferry.node_runtime.ControlExecutor;
+import org.wigeonferry.routing.AgedLoad;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.OwnLoad;
 import org.wigeonferry.routing.PromptPart;
@@ -19,7 +20,8 @@
 
 /**
  * Tells the other routers of the availability zone what this one has under way, which prompts it
- * sent where, and which upstreams it has lost, as they may start again before others notice.
+ * sent where, which upstreams it has lost, as they may start again before others notice, and what
+ * loads upstreams reported to it.
  *
  * <p>Only routers of one zone exchange reports, since requests mostly stay in their zone and bytes
  * between zones are dear. Owned by the control thread.
@@ -38,6 +40,12 @@
      */
     private static final int LARGE_SEND_TOKENS = 500;
 
+    /**
+     * Delay of the report of a pace that has changed much, so that the changes of several upstreams
+     * go into one datagram; short against slow periods of 600 ms.
+     */
+    private static final Duration PACE_CHANGE_DELAY = Duration.ofMillis(20);
+
     /** Prompts beyond are left out. */
     private static final int MAX_PROMPTS_PER_REPORT = 32;
 
@@ -96,6 +104,7 @@
     /** Starts the periodic reports. */
     void start() {
         state.setSendListener(this::onSend);
+        state.receivedLoads().setChangeListener(() -> scheduleReport(PACE_CHANGE_DELAY));
         control.scheduleWithFixedDelay(REPORT_INTERVAL, this::reportIfDue);
     }
 
@@ -104,9 +113,15 @@
         if (!parts.isEmpty() && sentPrompts.size() < MAX_PROMPTS_PER_REPORT) {
             send.model().ifPresent(model -> sentPrompts.add(SentPrompt.of(send, model, parts)));
         }
-        if (send.weightedUncachedTokens() >= LARGE_SEND_TOKENS && !reportScheduled) {
+        if (send.weightedUncachedTokens() >= LARGE_SEND_TOKENS) {
+            scheduleReport(Duration.ZERO);
+        }
+    }
+
+    private void scheduleReport(Duration delay) {
+        if (!reportScheduled) {
             reportScheduled = true;
-            control.schedule(Duration.ZERO, this::reportIfDue);
+            control.schedule(delay, this::reportIfDue);
         }
     }
 
@@ -125,6 +140,7 @@
         state.peerLoads()
                 .apply(report.router(), report.sequence(), report.loads(), control.nanoTime());
         report.prompts().forEach(state.upstreams()::recordPeerPrompt);
+        state.upstreams().recordForwardedLoads(report.forwardedLoads(), control.nanoTime());
         report.lostUpstreams()
                 .forEach(key -> state.upstreams().recordPeerLoss(key, control.nanoTime()));
     }
@@ -133,11 +149,13 @@
         reportScheduled = false;
         List<OwnLoad> loads = state.ownLoads();
         List<Integer> lostUpstreams = state.upstreams().takeLostUpstreams();
+        List<AgedLoad> forwardedLoads = state.receivedLoads().take(control.nanoTime());
         intervalsSinceReport++;
         boolean due =
                 !loads.equals(lastLoads)
                         || !sentPrompts.isEmpty()
                         || !lostUpstreams.isEmpty()
+                        || !forwardedLoads.isEmpty()
                         || (!loads.isEmpty()
                                 && intervalsSinceReport >= INTERVALS_PER_UNCHANGED_REPORT);
         List<HostAddress> receivers = peers.get();
@@ -149,7 +167,7 @@
         lastLoads = loads;
         intervalsSinceReport = 0;
         try {
-            byte[] datagram = encodeWhatFits(loads, lostUpstreams);
+            byte[] datagram = encodeWhatFits(loads, lostUpstreams, forwardedLoads);
             receivers.forEach(peer -> sender.send(peer, datagram));
         } catch (CodecException e) {
             LOG.atWarn().addKeyValue("cause", e.toString()).log("load report can't be written");
@@ -159,18 +177,14 @@
     }
 
     /** Leaves the prompts out if they don't fit: a caller may send any number of long parts. */
-    private byte[] encodeWhatFits(List<OwnLoad> loads, List<Integer> lostUpstreams)
+    private byte[] encodeWhatFits(
+            List<OwnLoad> loads, List<Integer> lostUpstreams, List<AgedLoad> forwardedLoads)
             throws CodecException {
-        byte[] datagram = encode(loads, sentPrompts, lostUpstreams);
+        LoadReport report =
+                new LoadReport(name, sequence, loads, sentPrompts, lostUpstreams, forwardedLoads);
+        byte[] datagram = LoadReportMessages.encode(report);
         return datagram.length <= DatagramSocketPair.MAX_DATAGRAM_BYTES
                 ? datagram
-                : encode(loads, List.of(), lostUpstreams);
-    }
-
-    private byte[] encode(
-            List<OwnLoad> loads, List<SentPrompt> prompts, List<Integer> lostUpstreams)
-            throws CodecException {
-        return LoadReportMessages.encode(
-                new LoadReport(name, sequence, loads, prompts, lostUpstreams));
+                : LoadReportMessages.encode(report.withoutPrompts());
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/LoadReportMessages.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadReportMessages.java
@@ -4,10 +4,12 @@
 import java.util.List;
 import org.wigeonferry.messages.CodecException;
 import org.wigeonferry.messages.MessageCodec;
+import org.wigeonferry.messages.gen.ForwardedLoadMessage;
 import org.wigeonferry.messages.gen.PromptPartMessage;
 import org.wigeonferry.messages.gen.RouterLoadMessage;
 import org.wigeonferry.messages.gen.SentPromptMessage;
 import org.wigeonferry.messages.gen.UpstreamLoadMessage;
+import org.wigeonferry.routing.AgedLoad;
 import org.wigeonferry.routing.OwnLoad;
 import org.wigeonferry.routing.PromptPart;
 import org.wigeonferry.routing.SentPrompt;
@@ -39,7 +41,11 @@
         }
         return MessageCodec.encode(
                 new RouterLoadMessage(report.router(), report.sequence(), loads, prompts)
-                        .setLostUpstreams(report.lostUpstreams()));
+                        .setLostUpstreams(report.lostUpstreams())
+                        .setForwardedLoads(
+                                report.forwardedLoads().stream()
+                                        .map(ForwardedLoadMessages::encode)
+                                        .toList()));
     }
 
     /** Decodes a report; throws if it is no report or a number is out of range. */
@@ -60,8 +66,19 @@
         }
         List<Integer> lostUpstreams =
                 message.isSetLostUpstreams() ? message.getLostUpstreams() : List.of();
+        List<AgedLoad> forwardedLoads = new ArrayList<>();
+        if (message.isSetForwardedLoads()) {
+            for (ForwardedLoadMessage load : message.getForwardedLoads()) {
+                forwardedLoads.add(ForwardedLoadMessages.decode(load));
+            }
+        }
         return new LoadReport(
-                message.getRouter(), message.getSequence(), loads, prompts, lostUpstreams);
+                message.getRouter(),
+                message.getSequence(),
+                loads,
+                prompts,
+                lostUpstreams,
+                forwardedLoads);
     }
 
     private static SentPromptMessage encodePrompt(SentPrompt prompt) {
@@ -80,7 +97,7 @@
         return new SentPrompt(prompt.getUpstream(), prompt.getModel(), parts);
     }
 
-    private static int checkRange(int value, int max) throws CodecException {
+    static int checkRange(int value, int max) throws CodecException {
         if (value < 0 || value > max) {
             throw new CodecException(
                     "decode load report", new IllegalArgumentException("out of range: " + value));
--- a/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
+++ b/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -16,10 +17,14 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.messages.CodecException;
+import org.wigeonferry.messages.MessageCodec;
+import org.wigeonferry.messages.gen.RouterLoadMessage;
 import org.wigeonferry.routing.Admitted;
+import org.wigeonferry.routing.AgedLoad;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.OwnLoad;
 import org.wigeonferry.routing.PromptPart;
+import org.wigeonferry.routing.ReportedLoad;
 import org.wigeonferry.routing.RoutedRequest;
 import org.wigeonferry.routing.RoutingState;
 import org.wigeonferry.routing.Send;
@@ -72,7 +77,10 @@
                         7,
                         List.of(new OwnLoad(-3, 4000, 2, 9000)),
                         List.of(new SentPrompt(-3, "large", List.of(new PromptPart("5c1e", 800)))),
-                        List.of(-3, 9));
+                        List.of(-3, 9),
+                        List.of(
+                                new AgedLoad(5, load(OptionalInt.of(250)), Duration.ofMillis(40)),
+                                new AgedLoad(6, load(OptionalInt.empty()), Duration.ZERO)));
         assertThat(LoadReportMessages.decode(LoadReportMessages.encode(report))).isEqualTo(report);
     }
 
@@ -142,12 +150,107 @@
                         new OwnLoad(1, 1, 1, -1))) {
             byte[] datagram =
                     LoadReportMessages.encode(
-                            new LoadReport("r", 7, List.of(odd), List.of(), List.of()));
+                            new LoadReport("r", 7, List.of(odd), List.of(), List.of(), List.of()));
             assertThatThrownBy(() -> LoadReportMessages.decode(datagram))
                     .isInstanceOf(CodecException.class);
         }
     }
 
+    @Test
+    void forwardedNumbersOutOfRangeAreNoReport() throws Exception {
+        for (AgedLoad odd :
+                List.of(
+                        new AgedLoad(1, load(OptionalInt.of(-1)), Duration.ZERO),
+                        new AgedLoad(1, load(OptionalInt.of(100)), Duration.ofMillis(-1)),
+                        new AgedLoad(
+                                1,
+                                new ReportedLoad(-1, 0, 0, OptionalInt.empty()),
+                                Duration.ZERO))) {
+            byte[] datagram =
+                    LoadReportMessages.encode(
+                            new LoadReport("r", 7, List.of(), List.of(), List.of(), List.of(odd)));
+            assertThatThrownBy(() -> LoadReportMessages.decode(datagram))
+                    .isInstanceOf(CodecException.class);
+        }
+    }
+
+    /** During a rolling upgrade, routers of the earlier release send no forwarded loads. */
+    @Test
+    void reportOfAnEarlierReleaseIsRead() throws Exception {
+        byte[] datagram = MessageCodec.encode(new RouterLoadMessage("r", 7, List.of(), List.of()));
+        assertThat(LoadReportMessages.decode(datagram).forwardedLoads()).isEmpty();
+    }
+
+    private static ReportedLoad load(OptionalInt pacePercent) {
+        return new ReportedLoad(1, 2, 6, pacePercent);
+    }
+
+    private void receiveLoad(int number, OptionalInt pacePercent) {
+        Job job = ((Admitted) state.admit(longPrompt(number), time.nanoTime(), 0)).job();
+        Send send = (Send) state.routeJob(job, "", time.nanoTime(), 0);
+        state.onResponseHeaders(send, Optional.of(load(pacePercent)), time.nanoTime());
+    }
+
+    private void prepareState() {
+        state.updateConfig(RouterControlTest.config());
+        state.freshness().recordConfirmation(time.nanoTime(), 0);
+        state.upstreams().put(RouterControlTest.upstream(), time.nanoTime());
+        exchange.start();
+    }
+
+    /** A slow period of 600 ms is half over before the next regular report is used. */
+    @Test
+    void paceThatHasChangedMuchIsForwardedSoonAndOnce() throws Exception {
+        prepareState();
+        receiveLoad(0, OptionalInt.of(250));
+        time.run(Duration.ofMillis(30));
+        assertThat(sent).hasSize(1);
+        List<AgedLoad> forwarded = LoadReportMessages.decode(sent.get(0)).forwardedLoads();
+        assertThat(forwarded).hasSize(1);
+        assertThat(forwarded.get(0).load()).isEqualTo(load(OptionalInt.of(250)));
+        assertThat(forwarded.get(0).age()).isEqualTo(Duration.ofMillis(20));
+        time.run(Duration.ofSeconds(2));
+        for (byte[] later : sent.subList(1, sent.size())) {
+            assertThat(LoadReportMessages.decode(later).forwardedLoads()).isEmpty();
+        }
+    }
+
+    /** Services whose upstreams report no pace are placed as before, and cost no more bytes. */
+    @Test
+    void loadWithoutPaceIsNotForwarded() throws Exception {
+        prepareState();
+        receiveLoad(0, OptionalInt.empty());
+        time.run(Duration.ofSeconds(1));
+        assertThat(sent).isNotEmpty();
+        for (byte[] datagram : sent) {
+            assertThat(LoadReportMessages.decode(datagram).forwardedLoads()).isEmpty();
+        }
+    }
+
+    /** A forwarded load must reach the state of the receiver, but not be forwarded again. */
+    @Test
+    void forwardedLoadIsUsedAndNotForwardedAgain() throws Exception {
+        prepareState();
+        receiveLoad(0, OptionalInt.of(250));
+        time.run(Duration.ofMillis(30));
+        RoutingState other = RoutingStates.empty();
+        other.upstreams().put(RouterControlTest.upstream(), time.nanoTime());
+        List<byte[]> sentByOther = new ArrayList<>();
+        LoadExchange peer =
+                new LoadExchange(
+                        "other",
+                        new VirtualControl(time),
+                        other,
+                        5,
+                        () -> List.of(PEER),
+                        (address, datagram) -> sentByOther.add(datagram));
+        peer.start();
+        peer.onDatagram(sent.get(0));
+        time.run(Duration.ofSeconds(1));
+        assertThat(other.receivedLoads().isEmpty()).isTrue();
+        assertThat(sentByOther).isEmpty();
+    }
+
     @Test
     void datagramsArriveUntilTheSocketsAreClosed() throws Exception {
         BlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
--- a/routing/src/main/java/org/wigeonferry/routing/PredictedTimeSelector.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PredictedTimeSelector.java
@@ -50,7 +50,7 @@
         JobTokens tokens = new JobTokens(job, model, upstreams.get(0));
         EnginePartition partition = directory.enginePartition();
         double unseenTokens = tokensUnseenInOtherZones(sample);
-        LowestTime lowest = new LowestTime();
+        LowestTime lowest = new LowestTime(upstreams.size());
         for (int i = 0; i < upstreams.size(); i++) {
             UpstreamState state = upstreams.get(i);
             UpstreamSpeed speed = state.speed();
@@ -64,13 +64,15 @@
                                     0,
                                     state.failureShare() - UpstreamSelector.IGNORED_FAILURE_SHARE);
             if (model.isPresent() && partition.wouldMixModelSizes(state, model.get())) {
-                surcharge += UpstreamSelector.MIXED_MODELS_COST_TOKENS * speed.tokenNanos();
+                surcharge += UpstreamSelector.MIXED_MODELS_COST_TOKENS * speed.tokenNanos(nowNanos);
             }
             double preference =
-                    MAX_AFFINITY_SHARE * tokens.sharedPartAffinity(state) * speed.tokenNanos();
-            lowest.offer(
-                    i,
-                    Math.max(0, nanos + surcharge - preference),
+                    MAX_AFFINITY_SHARE
+                            * tokens.sharedPartAffinity(state)
+                            * speed.tokenNanos(nowNanos);
+            double unseen = otherZone ? 1 + speed.relativeError() : 1;
+            lowest.add(
+                    Math.max(0, nanos * unseen + surcharge - preference),
                     speed.relativeError(),
                     Hashes.fraction(job.request().id(), state.key()));
         }
@@ -84,12 +86,7 @@
         return Optional.of(
                 new SelectedUpstream(
                         state,
-                        Optional.of(
-                                predict(
-                                        state,
-                                        queued + tokens.uncachedAt(state),
-                                        otherZone,
-                                        nowNanos))));
+                        predict(state, queued + tokens.uncachedAt(state), otherZone, nowNanos)));
     }
 
     /** The shortest predicted time over the upstreams that the rule allows. */
@@ -117,15 +114,11 @@
         return Optional.of(Duration.ofNanos((long) shortest));
     }
 
-    /** The prediction for an upstream that was chosen otherwise; empty if nothing is known. */
-    Optional<Prediction> predict(
-            UpstreamState state, Job job, Optional<String> model, long nowNanos) {
-        if (!directory.serviceSpeed(job.service()).isKnown()) {
-            return Optional.empty();
-        }
+    /** The prediction for an upstream that was chosen otherwise. */
+    Prediction predict(UpstreamState state, Job job, Optional<String> model, long nowNanos) {
         int added = UpstreamSelector.weightedUncachedTokens(state, job, model);
         boolean otherZone = !index.isInOwnZone(state);
-        return Optional.of(predict(state, queuedTokens(state) + added, otherZone, nowNanos));
+        return predict(state, queuedTokens(state) + added, otherZone, nowNanos);
     }
 
     private Prediction predict(
@@ -138,7 +131,7 @@
     private double predictedNanos(
             UpstreamState state, double tokens, boolean otherZone, long nowNanos) {
         UpstreamSpeed speed = state.speed();
-        return speed.nanos(tokens, rounds(state, nowNanos), speed.pace(nowNanos))
+        return speed.nanos(tokens, rounds(state, nowNanos), nowNanos)
                 + (otherZone ? OTHER_ZONE_ROUND_TRIP.toNanos() : 0);
     }
 
@@ -150,9 +143,10 @@
         return Work.rounds(state.runningSends() + others, state.instance().slots());
     }
 
-    /** Weighted tokens that the routers of the zone have queued at an upstream. */
+    /** Weighted tokens that an upstream still has to process for the routers of the zone. */
     private double queuedTokens(UpstreamState state) {
-        return (double) state.queuedTokens() + peerLoads.queuedTokens(state.key());
+        long queued = state.queuedTokens() + peerLoads.queuedTokens(state.key());
+        return state.speed().service().remainingTokens(queued);
     }
 
     /** Tokens assumed at each upstream of another zone, whose routers send no reports. */
--- a/routing/src/main/java/org/wigeonferry/routing/ReceivedLoads.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReceivedLoads.java
@@ -44,7 +44,7 @@
             loads.remove(oldest);
             receivedNanos.remove(oldest);
         }
-        double ratio = load.pacePercent().getAsInt() / 100.0 / upstream.speed().pace(nowNanos);
+        double ratio = upstream.speed().ratioToExpected(load.pacePercent().getAsInt(), nowNanos);
         if (ratio > NOTABLE_RATIO || ratio < 1 / NOTABLE_RATIO) {
             changeListener.run();
         }
--- a/routing/src/main/java/org/wigeonferry/routing/SelectedUpstream.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SelectedUpstream.java
@@ -1,12 +1,6 @@
 package org.wigeonferry.routing;
 
-import java.util.Optional;
 import org.wigeonferry.routing.prediction.Prediction;
 
-/**
- * The upstream chosen for a send.
- *
- * @param prediction the time to the first byte that is expected; empty if no response of the
- *     service has been seen
- */
-record SelectedUpstream(UpstreamState state, Optional<Prediction> prediction) {}
+/** The upstream chosen for a send, with the time to the first byte that is expected. */
+record SelectedUpstream(UpstreamState state, Prediction prediction) {}
--- a/routing/src/main/java/org/wigeonferry/routing/Send.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Send.java
@@ -20,8 +20,8 @@
  * @param heldTokens tokens of memory that the request may take at the upstream, prompt and answer
  *     together
  * @param startNanos when the upstream was chosen, by {@link System#nanoTime}
- * @param prediction the time to the first byte that is expected; empty if no response of the
- *     service has been seen
+ * @param prediction the time to the first byte that is expected; empty if the upstream was not
+ *     chosen by {@link RoutingState}
  */
 public record Send(
         UpstreamInstance upstream,
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
@@ -182,7 +182,7 @@
                 weightedUncachedTokens(state, job, selection.model()),
                 job.request().maxTokens(),
                 nowNanos,
-                selected.prediction());
+                Optional.of(selected.prediction()));
     }
 
     /** Urgency of a job: the account's rank, or else the route's; 0 is the most urgent. */
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -199,6 +199,7 @@
         recentSends.add(nowNanos);
         sendsForRateLimit.add(nowNanos);
         lastSendNanos = nowNanos;
+        speed.service().onSend(send.weightedUncachedTokens());
         send.model().ifPresent(model -> recordPrompt(model, request.parts()));
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/LearnedSpeed.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/LearnedSpeed.java
@@ -1,8 +1,8 @@
 package org.wigeonferry.routing.prediction;
 
 /**
- * Time that work takes, learned from response times: a time for each request and one for each
- * prompt token.
+ * Typical time that work takes at the upstreams of a service, learned from response times: a time
+ * for each request and one for each prompt token.
  *
  * <p>Errors are taken as logarithms of ratios, so that a response that is late by a large factor
  * does not outweigh many ordinary ones, and both times stay positive. Invariant: both times are
@@ -23,15 +23,9 @@
 
     private static final int FIRST_RESPONSES = 3;
 
-    /** Relative error that is assumed before the first response. */
-    private static final double INITIAL_ERROR = 0.5;
-
-    private static final double ERROR_WEIGHT = 0.05;
-
     private final double minGain;
     private double requestNanos;
     private double tokenNanos;
-    private double relativeError = INITIAL_ERROR;
     private int responses;
 
     /**
@@ -45,13 +39,7 @@
         this.minGain = minGain;
     }
 
-    /** Starts with the times of another estimate. */
-    LearnedSpeed(LearnedSpeed other, double minGain) {
-        this(other.requestNanos, other.tokenNanos, minGain);
-        relativeError = other.relativeError;
-    }
-
-    /** Predicted duration of work at the usual pace. */
+    /** Predicted duration of work at the mean pace. */
     double nanos(double tokens, double rounds) {
         return requestNanos * rounds + tokenNanos * tokens;
     }
@@ -60,25 +48,17 @@
         return tokenNanos;
     }
 
-    /** Mean absolute logarithm of the ratios of observed to predicted times. */
-    double relativeError() {
-        return relativeError;
-    }
-
     int responses() {
         return responses;
     }
 
-    /** Learns from work that took {@code nanos}, converted to the usual pace. */
+    /** Learns from work that took {@code nanos}, converted to the mean pace of the upstream. */
     void record(Work work, double nanos) {
         double predicted = nanos(work.tokens(), work.rounds());
         double maxRatio = responses < FIRST_RESPONSES ? MAX_FIRST_RATIO : MAX_RATIO;
         double limit = Math.log(maxRatio);
         double logRatio =
                 Math.max(-limit, Math.min(limit, Math.log(Math.max(1, nanos) / predicted)));
-        if (responses > 0) {
-            relativeError += ERROR_WEIGHT * (Math.abs(logRatio) - relativeError);
-        }
         double requestShare = requestNanos * work.rounds() / predicted;
         double tokenShare = 1 - requestShare;
         double step =
@@ -95,13 +75,6 @@
         responses++;
     }
 
-    /** Keeps both times within a factor of those of another estimate. */
-    void limitTo(LearnedSpeed other, double factor) {
-        requestNanos =
-                limit(requestNanos, other.requestNanos / factor, other.requestNanos * factor);
-        tokenNanos = limit(tokenNanos, other.tokenNanos / factor, other.tokenNanos * factor);
-    }
-
     private static double limit(double value, double min, double max) {
         return Math.max(min, Math.min(max, value));
     }
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/LowestTime.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/LowestTime.java
@@ -3,40 +3,61 @@
 import java.util.OptionalInt;
 
 /**
- * Finds the candidate with the lowest predicted time; nearly equal ones are ranked by a hash.
+ * Finds the candidate with the lowest predicted time; among nearly equal ones a hash decides.
  *
  * <p>Answers the load of tens of routers that see the same upstreams: all would choose the one that
- * is faster by less than the error of the prediction. Invariant: a candidate whose predicted time
- * is more than {@link #MAX_SPREAD} of the lower one above another is not chosen before it. Used for
- * one decision on the control thread.
+ * is faster by less than the error of the prediction. Invariant: the predicted time of the chosen
+ * candidate is at most {@link #MAX_SPREAD} of the lowest one above it. Used for one decision on the
+ * control thread.
  */
 public final class LowestTime {
-    /** Limits of the share of a predicted time within which another one counts as equal. */
+    /** Limits of the share of the lowest predicted time within which others count as equal. */
     static final double MIN_SPREAD = 0.1;
 
-    static final double MAX_SPREAD = 0.4;
+    static final double MAX_SPREAD = 0.25;
 
-    private int best = -1;
-    private double bestNanos = Double.POSITIVE_INFINITY;
+    private final double[] nanos;
+    private final double[] samples;
+    private int count;
+    private int lowest;
+    private double relativeErrorOfLowest;
+
+    /** Starts without candidates. */
+    public LowestTime(int maxCandidates) {
+        nanos = new double[maxCandidates];
+        samples = new double[maxCandidates];
+    }
 
     /**
-     * Offers a candidate.
+     * Adds the next candidate.
      *
-     * @param nanos its predicted time, with surcharges
+     * @param predictedNanos its predicted time, with surcharges; not negative
      * @param relativeError error of the predicted time
      * @param sample hash of request and candidate, from 0 to 1
      */
-    public void offer(int candidate, double nanos, double relativeError, double sample) {
-        double spread = Math.max(MIN_SPREAD, Math.min(MAX_SPREAD, relativeError));
-        double rankedNanos = nanos + Math.abs(nanos) * spread * sample;
-        if (rankedNanos < bestNanos) {
-            bestNanos = rankedNanos;
-            best = candidate;
+    public void add(double predictedNanos, double relativeError, double sample) {
+        nanos[count] = predictedNanos;
+        samples[count] = sample;
+        if (count == 0 || predictedNanos < nanos[lowest]) {
+            lowest = count;
+            relativeErrorOfLowest = relativeError;
         }
+        count++;
     }
 
-    /** The best candidate; empty if none was offered. */
+    /** The position of the best candidate in the order of their addition; empty without any. */
     public OptionalInt best() {
-        return best < 0 ? OptionalInt.empty() : OptionalInt.of(best);
+        if (count == 0) {
+            return OptionalInt.empty();
+        }
+        double spread = Math.max(MIN_SPREAD, Math.min(MAX_SPREAD, relativeErrorOfLowest));
+        double limit = nanos[lowest] * (1 + spread);
+        int best = lowest;
+        for (int i = 0; i < count; i++) {
+            if (nanos[i] <= limit && samples[i] < samples[best]) {
+                best = i;
+            }
+        }
+        return OptionalInt.of(best);
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/PaceEstimate.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/PaceEstimate.java
@@ -3,17 +3,18 @@
 import java.time.Duration;
 
 /**
- * Expected duration of work on an upstream's host relative to the usual one, from the paces that
- * the upstream reports.
+ * Expected duration of work on an upstream's host relative to its mean duration, from the paces
+ * that the upstream reports.
  *
  * <p>Answers the load in which other programs slow a host down for about 600 ms at a time. The
- * weight of a report decays with its age, toward the mean of all reports, so that an upstream whose
- * reports are always too high or too low is predicted as its response times show. Invariant: from
- * {@link #MIN} to {@link #MAX}. Owned by the control thread.
+ * weight of a report decays with its age. Paces are taken relative to the mean of those that the
+ * upstream reports, since the learned speed already contains the mean: an upstream whose reports
+ * are always too high or too low gains and loses nothing. Invariant: from {@link #MIN} to {@link
+ * #MAX}. Owned by the control thread.
  */
 final class PaceEstimate {
-    static final double MIN = 0.25;
-    static final double MAX = 5;
+    static final double MIN = 0.5;
+    static final double MAX = 4;
 
     /**
      * Time after which the weight of a report is 1/e: for slow periods of 600 ms on average which
@@ -24,33 +25,46 @@
     /** Reports beyond this age are ignored. */
     static final Duration MAX_AGE = Duration.ofSeconds(3);
 
-    private static final double MEAN_WEIGHT = 0.03;
+    private static final double MIN_MEAN_WEIGHT = 0.02;
+
+    /** Number of reports of the usual pace that the mean starts with. */
+    private static final int INITIAL_REPORTS = 8;
 
     private double mean = 1;
     private double last = 1;
     private long lastNanos;
-    private boolean known;
+    private int reports;
 
     /** Records a report; false, with no change, if it is too old or impossible. */
     boolean record(int pacePercent, long observedNanos, long nowNanos) {
-        boolean outdated = known && observedNanos - lastNanos <= 0;
+        boolean outdated = reports > 0 && observedNanos - lastNanos <= 0;
         long age = nowNanos - observedNanos;
         if (pacePercent <= 0 || outdated || age < 0 || age > MAX_AGE.toNanos()) {
             return false;
         }
-        last = Math.max(MIN, Math.min(MAX, pacePercent / 100.0));
-        mean += MEAN_WEIGHT * (last - mean);
+        last = limit(pacePercent / 100.0);
+        mean += Math.max(MIN_MEAN_WEIGHT, 1.0 / (reports + INITIAL_REPORTS)) * (last - mean);
         lastNanos = observedNanos;
-        known = true;
+        reports++;
         return true;
     }
 
-    /** The expected duration of work now, as a multiple of the usual one. */
+    /** A reported pace as a multiple of the mean one. */
+    double relative(int pacePercent) {
+        return limit(limit(pacePercent / 100.0) / mean);
+    }
+
+    /** The expected duration of work now, as a multiple of the mean one. */
     double factor(long nowNanos) {
         long age = nowNanos - lastNanos;
-        if (!known || age > MAX_AGE.toNanos()) {
-            return mean;
+        if (reports == 0 || age > MAX_AGE.toNanos()) {
+            return 1;
         }
-        return mean + (last - mean) * Math.exp(-(double) age / DECAY_TIME.toNanos());
+        double weight = Math.exp(-(double) age / DECAY_TIME.toNanos());
+        return limit(1 + (last / mean - 1) * weight);
+    }
+
+    private static double limit(double factor) {
+        return Math.max(MIN, Math.min(MAX, factor));
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/ServiceSpeed.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/ServiceSpeed.java
@@ -5,7 +5,8 @@
 /**
  * The typical speed of a service's upstreams, and whether they report a pace.
  *
- * <p>Stands for upstreams whose responses this router has not seen. Owned by the control thread.
+ * <p>Also stands for upstreams whose responses this router has not seen. Owned by the control
+ * thread.
  */
 public final class ServiceSpeed {
     private static final double INITIAL_REQUEST_NANOS = 80e6;
@@ -17,6 +18,7 @@
 
     private final LearnedSpeed typical =
             new LearnedSpeed(INITIAL_REQUEST_NANOS, INITIAL_TOKEN_NANOS, MIN_GAIN);
+    private final QueueProgress queueProgress = new QueueProgress();
     private boolean paceReported;
     private long lastPaceNanos;
 
@@ -30,6 +32,16 @@
         return typical.responses() > 0;
     }
 
+    /** Records the weighted uncached tokens of a send to one of the upstreams. */
+    public void onSend(double tokens) {
+        queueProgress.onSend(tokens);
+    }
+
+    /** Tokens that are still to be processed of those of an upstream's unfinished prompts. */
+    public double remainingTokens(double queuedTokens) {
+        return queueProgress.remainingTokens(queuedTokens);
+    }
+
     LearnedSpeed typical() {
         return typical;
     }
