--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/WaitingQueue.java
@@ -0,0 +1,196 @@
+package org.wigeonferry.routing.waiting;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * The requests that wait for room at the upstreams of one service.
+ *
+ * <p>Answers bursts of several times the capacity: a request that can't be sent in time is refused
+ * when it comes, and one that is overtaken until it can't be sent in time is refused then, instead
+ * of at its deadline. Requests leave by rank, then by the use of their account, then by their
+ * latest start. A request that finds no room lets others pass, but only a few times, so that small
+ * requests do not starve a large one. Invariant: the sums are those of the waiting requests, within
+ * the limits. Owned by the control thread.
+ */
+public final class WaitingQueue {
+    /** Requests without room after which a pass ends; each try is a placement decision. */
+    private static final int MAX_FAILED_TRIES = 4;
+
+    /** Requests that may be sent before one that was tried earlier and found no room. */
+    private static final int MAX_TIMES_OVERTAKEN = 8;
+
+    /** A waiting request is evicted if its expected wait exceeds the time left by this factor. */
+    private static final double WAIT_ERROR_FACTOR = 1.5;
+
+    private final QueueLimits limits;
+    private final AccountUse use;
+    private final DrainRate drainRate;
+    private final Map<Long, WaitingRequest> requests = new HashMap<>();
+    private final Map<Long, Integer> timesOvertaken = new HashMap<>();
+    private long tokens;
+    private long bytes;
+
+    /** Creates an empty queue. */
+    public WaitingQueue(QueueLimits limits, AccountUse use, DrainRate drainRate) {
+        this.limits = limits;
+        this.use = use;
+        this.drainRate = drainRate;
+    }
+
+    /** Number of waiting requests. */
+    public int size() {
+        return requests.size();
+    }
+
+    /** The waiting request with a number. */
+    public Optional<WaitingRequest> request(long number) {
+        return Optional.ofNullable(requests.get(number));
+    }
+
+    /** Adds a request if it can be sent in time and the limits allow it. */
+    public QueueDecision offer(WaitingRequest request, long nowNanos) {
+        Comparator<WaitingRequest> order = order();
+        long before = requests.values().stream().filter(r -> order.compare(r, request) < 0).count();
+        Duration wait = timeFor(before + 1);
+        if (nowNanos + wait.toNanos() - request.latestStartNanos() > 0) {
+            return new QueueDecision(Optional.of(WaitRefusal.WAIT_TOO_LONG), wait, List.of());
+        }
+        add(request);
+        List<Eviction> evictions = evictBeyondLimits();
+        if (!requests.containsKey(request.number())) {
+            List<Eviction> others =
+                    evictions.stream().filter(e -> !e.request().equals(request)).toList();
+            return new QueueDecision(Optional.of(WaitRefusal.QUEUE_FULL), wait, others);
+        }
+        evictions.addAll(evictTooLate(request, order, nowNanos));
+        return new QueueDecision(Optional.empty(), wait, evictions);
+    }
+
+    /** Removes a request; does nothing if it does not wait. */
+    public void remove(long number) {
+        WaitingRequest removed = requests.remove(number);
+        if (removed != null) {
+            tokens -= removed.tokens();
+            bytes -= removed.bytes();
+            timesOvertaken.remove(number);
+        }
+    }
+
+    /**
+     * Tries to send requests in order, until none waits or several found no room.
+     *
+     * @param tryToSend tries to send a request; true if it need not wait any longer
+     */
+    public void dispatch(Predicate<WaitingRequest> tryToSend) {
+        Set<Long> tried = new HashSet<>();
+        while (tried.size() < MAX_FAILED_TRIES) {
+            Optional<WaitingRequest> next = first(tried);
+            if (next.isEmpty()) {
+                return;
+            }
+            long number = next.get().number();
+            if (tryToSend.test(next.get())) {
+                remove(number);
+                tried.forEach(n -> timesOvertaken.merge(n, 1, Integer::sum));
+                continue;
+            }
+            tried.add(number);
+            if (timesOvertaken.getOrDefault(number, 0) >= MAX_TIMES_OVERTAKEN) {
+                return;
+            }
+        }
+    }
+
+    /** All waiting requests, in the order in which they leave. */
+    public List<WaitingRequest> inOrder() {
+        return requests.values().stream().sorted(order()).toList();
+    }
+
+    /** When the request that waits longest began to wait. */
+    public Optional<Long> oldestArrivalNanos() {
+        return requests.values().stream()
+                .map(WaitingRequest::arrivalNanos)
+                .min(Comparator.naturalOrder());
+    }
+
+    private Optional<WaitingRequest> first(Set<Long> except) {
+        return requests.values().stream()
+                .filter(request -> !except.contains(request.number()))
+                .min(order());
+    }
+
+    private Comparator<WaitingRequest> order() {
+        return Comparator.comparingInt(WaitingRequest::rank)
+                .thenComparingDouble(request -> use.use(request.account()))
+                .thenComparingLong(WaitingRequest::latestStartNanos)
+                .thenComparingLong(WaitingRequest::number);
+    }
+
+    private void add(WaitingRequest request) {
+        requests.put(request.number(), request);
+        tokens += request.tokens();
+        bytes += request.bytes();
+    }
+
+    /** Evicts the last requests of the account that uses most, until the limits are kept. */
+    private List<Eviction> evictBeyondLimits() {
+        List<Eviction> evictions = new ArrayList<>();
+        while (!limits.allow(requests.size(), tokens, bytes)) {
+            String account = accountThatUsesMost();
+            WaitingRequest last =
+                    requests.values().stream()
+                            .filter(request -> request.account().equals(account))
+                            .max(order())
+                            .orElseThrow();
+            remove(last.number());
+            evictions.add(new Eviction(last, WaitRefusal.QUEUE_FULL));
+        }
+        return evictions;
+    }
+
+    /** Accounts that have used the same are told apart by the tokens and requests that wait. */
+    private String accountThatUsesMost() {
+        Map<String, Long> waiting = new HashMap<>();
+        requests.values()
+                .forEach(
+                        request ->
+                                waiting.merge(request.account(), 1 + request.tokens(), Long::sum));
+        return waiting.keySet().stream()
+                .max(
+                        Comparator.<String>comparingDouble(use::use)
+                                .thenComparingLong(waiting::get)
+                                .thenComparing(Comparator.naturalOrder()))
+                .orElseThrow();
+    }
+
+    /** Evicts requests behind a new one that can't be sent in time any more. */
+    private List<Eviction> evictTooLate(
+            WaitingRequest added, Comparator<WaitingRequest> order, long nowNanos) {
+        List<Eviction> evictions = new ArrayList<>();
+        int position = 0;
+        for (WaitingRequest request : inOrder()) {
+            position++;
+            double waitNanos = timeFor(position).toNanos() / WAIT_ERROR_FACTOR;
+            boolean tooLate = nowNanos + (long) waitNanos - request.latestStartNanos() > 0;
+            if (tooLate && order.compare(request, added) > 0) {
+                remove(request.number());
+                evictions.add(new Eviction(request, WaitRefusal.WAIT_TOO_LONG));
+                position--;
+            }
+        }
+        return evictions;
+    }
+
+    private Duration timeFor(double ends) {
+        return drainRate.timeFor(ends).orElse(Duration.ZERO);
+    }
+}
