Requests wait for room at upstreams where load.queue is on

Until now every request was sent on at once. With load.queue on, RoutingState answers Waiting for a job that finds no room; WaitingCalls routes it again when a send ends, an upstream or a report comes, or its time is over. Jobs leave by rank, account and latest start.

With it off, placement, refusals and reports are as before.

--- a/router/src/main/java/org/wigeonferry/router/CallContext.java
+++ b/router/src/main/java/org/wigeonferry/router/CallContext.java
@@ -14,6 +14,7 @@
  * @param trafficExecutor runs the tasks that read requests and write responses
  * @param responseBudget bounds the memory of responses that are not complete
  * @param inFlight the requests whose responses are not complete
+ * @param waitingCalls the calls that wait for room at an upstream
  */
 record CallContext(
         ControlExecutor control,
@@ -24,4 +25,5 @@
         Refusals refusals,
         NodeMetrics metrics,
         ResponseBudget responseBudget,
-        InFlightRequests inFlight) {}
+        InFlightRequests inFlight,
+        WaitingCalls waitingCalls) {}
--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -29,7 +29,10 @@
 
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
 
-    /** Reports of an unchanged load are sent less often, but before the last one expires. */
+    /**
+     * Reports of an unchanged load are sent less often, but before the last one expires; those of
+     * no load only where routers divide the room at upstreams, to show that this one is reached.
+     */
     private static final int INTERVALS_PER_UNCHANGED_REPORT = 3;
 
     /**
@@ -127,6 +130,7 @@
         report.prompts().forEach(state.upstreams()::recordPeerPrompt);
         report.lostUpstreams()
                 .forEach(key -> state.upstreams().recordPeerLoss(key, control.nanoTime()));
+        state.loadAdmission().onRoomChange();
     }
 
     private void reportIfDue() {
@@ -138,7 +142,7 @@
                 !loads.equals(lastLoads)
                         || !sentPrompts.isEmpty()
                         || !lostUpstreams.isEmpty()
-                        || (!loads.isEmpty()
+                        || ((!loads.isEmpty() || state.loadAdmission().isEnabled())
                                 && intervalsSinceReport >= INTERVALS_PER_UNCHANGED_REPORT);
         List<HostAddress> receivers = peers.get();
         if (!due || receivers.isEmpty()) {
--- a/router/src/main/java/org/wigeonferry/router/Refusals.java
+++ b/router/src/main/java/org/wigeonferry/router/Refusals.java
@@ -40,6 +40,8 @@
         RETRY_AFTER_BY_CAUSE.put(RefusalCause.STOPPING, Duration.ofMillis(20));
         RETRY_AFTER_BY_CAUSE.put(RefusalCause.NO_UPSTREAM, Duration.ofMillis(300));
         RETRY_AFTER_BY_CAUSE.put(RefusalCause.NOT_RUN, Duration.ofMillis(300));
+        RETRY_AFTER_BY_CAUSE.put(RefusalCause.WAIT_TOO_LONG, Duration.ofMillis(500));
+        RETRY_AFTER_BY_CAUSE.put(RefusalCause.QUEUE_FULL, Duration.ofMillis(500));
         RETRY_AFTER_BY_CAUSE.put(RefusalCause.OVERLOADED, Duration.ofMillis(500));
     }
 
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -14,6 +14,7 @@
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
 import org.wigeonferry.routing.UpstreamAnnouncement;
+import org.wigeonferry.routing.Waiting;
 
 /**
  * Serves one request: sends it to an upstream, resends it where that is allowed (the request is
@@ -52,6 +53,7 @@
     /** Starts the deadline timer and the first send. Called on the control thread. */
     void start() {
         context.inFlight().add(this);
+        job.recordBodyBytes(caller.body().length);
         long timeLeftNanos = job.deadlineNanos() - context.control().nanoTime();
         cancelDeadlineTimer =
                 context.control()
@@ -160,6 +162,8 @@
             context.trafficExecutor().execute(() -> startSend(send));
         } else if (placement instanceof Refused refused) {
             context.trafficExecutor().execute(() -> giveUp(refused));
+        } else if (placement instanceof Waiting waiting) {
+            context.waitingCalls().await(job, waiting, this::selectUpstream);
         }
     }
 
@@ -286,6 +290,7 @@
         cancelDeadlineTimer.run();
         caller.clearDisconnectAction();
         context.inFlight().remove(this);
+        context.waitingCalls().leave(job);
         return true;
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -152,6 +152,7 @@
         boolean newIncarnation =
                 before.filter(known -> known.incarnation().equals(upstream.incarnation()))
                         .isEmpty();
+        state.loadAdmission().onRulesChange();
         if (newIncarnation || before.get().draining() != upstream.draining()) {
             LOG.atInfo()
                     .addKeyValue("upstream", upstream.id())
@@ -172,6 +173,7 @@
             return;
         }
         state.upstreams().remove(id, control.nanoTime());
+        state.loadAdmission().onRulesChange();
         LOG.atInfo().addKeyValue("upstream", id).log("upstream gone");
     }
 
@@ -184,6 +186,7 @@
     /** Disables an availability zone, or enables it again. */
     public void setZoneDisabled(String zone, boolean disabled) {
         state.setZoneDisabled(zone, disabled);
+        state.loadAdmission().onRulesChange();
         LOG.atInfo().addKeyValue("zone", zone).addKeyValue("closed", disabled).log("zone");
     }
 
@@ -235,6 +238,7 @@
         state.setLiveRouters(live);
         peers.retain(live.names());
         state.peerLoads().expire(now);
+        state.loadAdmission().runChecks(peers.zonePeers().size() + 1, now);
         if (!storeAnswers) {
             return;
         }
--- a/router/src/main/java/org/wigeonferry/router/RouterServer.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterServer.java
@@ -87,7 +87,9 @@
                                 new Refusals(),
                                 metrics,
                                 responseBudget,
-                                inFlight));
+                                inFlight,
+                                new WaitingCalls(
+                                        control, routerControl.state().loadAdmission(), metrics)));
         metrics.registerGauge("in_flight", inFlight::count);
         metrics.registerGauge("response_bytes_reserved", responseBudget::reservedBytes);
         callerServer = start(threads, addresses.callers(), handler);
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.NodeMetrics;
@@ -30,13 +32,24 @@
     private final ControlThread control = new ControlThread("control");
     private final NodeMetrics metrics = new NodeMetrics();
     private final JettySender sender;
+    private final RouterControl router;
     private final RouterServer server;
     private final int port;
 
     RouterHarness(List<ScriptedUpstream> upstreams) throws Exception {
+        this(upstreams, state -> {});
+    }
+
+    /**
+     * Starts a router.
+     *
+     * @param setUp changes the routing state before the router starts
+     */
+    RouterHarness(List<ScriptedUpstream> upstreams, Consumer<RoutingState> setUp) throws Exception {
         sender = new JettySender(Duration.ofMillis(500));
         RoutingState state = RoutingStates.empty();
-        RouterControl router =
+        setUp.accept(state);
+        router =
                 new RouterControl(
                         "router",
                         control,
@@ -65,7 +78,7 @@
                                     System.nanoTime(), System.currentTimeMillis());
                             router.onConfiguration(config());
                             for (int i = 0; i < upstreams.size(); i++) {
-                                router.onUpstream(upstream(i, upstreams.get(i).port()));
+                                router.onUpstream(upstream(i, "u" + i, upstreams.get(i).port()));
                             }
                             return true;
                         })
@@ -76,6 +89,26 @@
         return server;
     }
 
+    /** Changes what the router has read from the store. */
+    void change(Consumer<RouterControl> change) {
+        control.execute(() -> change.accept(router));
+    }
+
+    /** Waits until as many requests wait for room; fails after 8 s. */
+    void awaitWaiting(long count) {
+        long end = System.nanoTime() + Duration.ofSeconds(8).toNanos();
+        while ((Long) gauge("waiting_requests") != count) {
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("waiting: " + gauge("waiting_requests"));
+            }
+            LockSupport.parkNanos(Duration.ofMillis(5).toNanos());
+        }
+    }
+
+    private Object gauge(String name) {
+        return metrics.registry().getGauges().get(name).getValue();
+    }
+
     /** Value of the gauge of memory that incomplete responses hold. */
     long reservedResponseBytes() {
         return (Long) metrics.registry().getGauges().get("response_bytes_reserved").getValue();
@@ -171,9 +204,10 @@
                 List.of(new WeightedService("service", 1)));
     }
 
-    private static UpstreamInstance upstream(int number, int port) {
+    /** The first upstream is in the router's zone. */
+    static UpstreamInstance upstream(int number, String id, int port) {
         return new UpstreamInstance(
-                new Incarnation("u" + number, 1),
+                new Incarnation(id, 1),
                 new HostAddress(LOOPBACK, port),
                 "service",
                 number == 0 ? "zone" : "other",
--- a/routing/src/main/java/org/wigeonferry/routing/Job.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Job.java
@@ -23,6 +23,7 @@
     private boolean lowConfidenceAnswerDropped;
     private final AtomicInteger possibleRuns = new AtomicInteger();
     private int sends;
+    private int bodyBytes;
 
     Job(
             RoutedRequest request,
@@ -94,6 +95,15 @@
         sentTo.remove(incarnation);
     }
 
+    /** Records the length of the body, which the router keeps until the job has ended. */
+    public void recordBodyBytes(int bytes) {
+        bodyBytes = bytes;
+    }
+
+    int bodyBytes() {
+        return bodyBytes;
+    }
+
     boolean wasSentBefore() {
         return sends > 0;
     }
--- a/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
@@ -44,6 +44,11 @@
                 .forEach(entry -> remove(entry.getKey()));
     }
 
+    /** Routers whose report counts. */
+    int routerCount() {
+        return reports.size();
+    }
+
     /** Weighted prompt tokens that the other routers have queued at an upstream. */
     int queuedTokens(int upstreamKey) {
         OwnLoad sum = sums.get(upstreamKey);
--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -68,6 +68,16 @@
         return false;
     }
 
+    /** Records what the end of a send says of its request; true if it is condemned from now on. */
+    boolean onSendEnd(String digest, List<PromptPart> parts, SendReport report, long nowNanos) {
+        if (report.provesHarmless(nowNanos)) {
+            onAnswer(digest, parts, nowNanos);
+            return false;
+        }
+        return report.outcome() == SendOutcome.BROKEN
+                && onCrash(digest, parts, report.send().upstream().incarnation(), nowNanos);
+    }
+
     /**
      * Counts the crash of an upstream that ended a send before its answer was well under way.
      *
--- a/routing/src/main/java/org/wigeonferry/routing/RefusalCause.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RefusalCause.java
@@ -32,6 +32,10 @@
      * may have run the request the cause is {@link #OUTCOME_UNKNOWN}.
      */
     NOT_RUN(true),
+    /** All upstreams are full, and the request would be sent too late to be answered in time. */
+    WAIT_TOO_LONG(true),
+    /** All upstreams are full, and so is the queue. */
+    QUEUE_FULL(true),
     /** Too little of the caller's time is left to send the request. */
     TOO_LATE(true),
     /** The request was sent; whether it ran is unknown. */
--- a/routing/src/main/java/org/wigeonferry/routing/RequestAdmission.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RequestAdmission.java
@@ -57,6 +57,12 @@
                 && job.request().key().flatMap(k -> config.flatMap(c -> c.account(k))).isPresent();
     }
 
+    /** Whether the configuration has a route for a job's host and path. */
+    static boolean isRouteInForce(Optional<RoutingConfig> config, Job job) {
+        RoutedRequest request = job.request();
+        return config.flatMap(c -> c.route(request.host(), request.path())).isPresent();
+    }
+
     private static Refused refusalOrStale(RefusalCause cause, boolean upToDate) {
         return new Refused(upToDate ? cause : RefusalCause.STALE_CONFIGURATION);
     }
--- /dev/null
+++ b/routing/src/main/java/org/wigeonferry/routing/RoomRules.java
@@ -0,0 +1,126 @@
+package org.wigeonferry.routing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.wigeonferry.routing.room.CapacityDivision;
+import org.wigeonferry.routing.room.HeldLoad;
+import org.wigeonferry.routing.room.RoomView;
+import org.wigeonferry.routing.room.UpstreamCapacity;
+import org.wigeonferry.routing.room.UpstreamRoom;
+import org.wigeonferry.routing.room.ZoneRouters;
+
+/**
+ * Tells which upstreams have room for a job, from what this router, its peers and the upstreams
+ * themselves say of their load.
+ *
+ * <p>Owned by the control thread.
+ */
+final class RoomRules {
+    /**
+     * Age that reports of other routers may have: two intervals between reports, with the time on
+     * the way.
+     */
+    static final Duration MAX_REPORT_AGE = Duration.ofMillis(500);
+
+    private final String zone;
+    private final PeerLoads peerLoads;
+    private final Map<Integer, RecentTokens> recentTokens = new HashMap<>();
+
+    /** Derived from the values below; cleared when one of them may have changed. */
+    private final Map<Integer, UpstreamRoom> rooms = new HashMap<>();
+
+    private LiveRouters routers;
+    private int zoneRouterCount = 1;
+    private int heardRouterCount;
+
+    RoomRules(String zone, PeerLoads peerLoads, LiveRouters routers) {
+        this.zone = zone;
+        this.peerLoads = peerLoads;
+        this.routers = routers;
+    }
+
+    void setLiveRouters(LiveRouters newRouters) {
+        routers = newRouters;
+        rooms.clear();
+    }
+
+    /** Sets the number of live routers of this router's zone, this one included. */
+    void setZoneRouterCount(int count) {
+        zoneRouterCount = count;
+        rooms.clear();
+    }
+
+    /** Records that the capacity of upstreams may have changed. */
+    void onCapacityChange() {
+        rooms.clear();
+    }
+
+    void onSend(Send send, long nowNanos) {
+        recentTokens
+                .computeIfAbsent(
+                        Hashes.key(send.upstream().id()), key -> new RecentTokens(MAX_REPORT_AGE))
+                .add(send.heldTokens(), nowNanos);
+    }
+
+    /** Forgets the sends to upstreams that are old. */
+    void removeExpired(long nowNanos) {
+        recentTokens.values().removeIf(tokens -> tokens.sum(nowNanos) == 0);
+    }
+
+    /** Allows upstreams that have room for a job now. */
+    boolean hasRoom(UpstreamState upstream, Job job, long nowNanos) {
+        return roomOf(upstream).fits(viewOf(upstream, nowNanos), job.request().maxTokens());
+    }
+
+    /** Allows upstreams that would have room for a job if nothing else were there. */
+    boolean canHaveRoom(UpstreamState upstream, Job job, long nowNanos) {
+        return roomOf(upstream).canEverFit(job.request().maxTokens());
+    }
+
+    private RoomView viewOf(UpstreamState upstream, long nowNanos) {
+        int key = upstream.key();
+        RecentTokens recent = recentTokens.get(key);
+        return new RoomView(
+                new HeldLoad(upstream.runningSends(), upstream.heldTokens()),
+                recent == null ? 0 : recent.sum(nowNanos),
+                new HeldLoad(peerLoads.runningSends(key), peerLoads.heldTokens(key)),
+                upstream.requestsOfOtherRouters(nowNanos));
+    }
+
+    private UpstreamRoom roomOf(UpstreamState upstream) {
+        if (heardRouterCount != peerLoads.routerCount()) {
+            heardRouterCount = peerLoads.routerCount();
+            rooms.clear();
+        }
+        return rooms.computeIfAbsent(upstream.key(), key -> newRoom(upstream));
+    }
+
+    private UpstreamRoom newRoom(UpstreamState upstream) {
+        ZoneRouters zoneRouters = zoneRouters();
+        UpstreamInstance instance = upstream.instance();
+        UpstreamCapacity capacity =
+                upstream.engineTraits()
+                        .map(
+                                traits ->
+                                        UpstreamCapacity.ofEngine(
+                                                instance.slots(), traits.capacityTokens()))
+                        .orElseGet(() -> UpstreamCapacity.ofServer(instance.slots()));
+        boolean otherZones = routers.assumedCount() > zoneRouters.count();
+        CapacityDivision division = new CapacityDivision(capacity, otherZones);
+        int grants = routers.shareOf(division.grants(), instance.id());
+        return new UpstreamRoom(division, instance.zone().equals(zone), zoneRouters, grants);
+    }
+
+    /**
+     * Until all routers are known, as many as that are assumed in the zone, and this one takes no
+     * more than its even share before it hears of all that it knows.
+     */
+    private ZoneRouters zoneRouters() {
+        int heard = heardRouterCount;
+        int known = Math.max(zoneRouterCount, heard + 1);
+        boolean allKnown = routers.minCount() <= 1;
+        boolean isolated = allKnown ? heard == 0 && known > 1 : heard < Math.max(1, known - 1);
+        return new ZoneRouters(allKnown ? known : Math.max(known, routers.minCount()), isolated);
+    }
+}
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -17,7 +17,7 @@
  */
 public final class RoutingState {
     /** Shortest time to the deadline with which a request is still sent. */
-    private static final Duration MIN_TIME_LEFT = Duration.ofMillis(20);
+    static final Duration MIN_TIME_LEFT = Duration.ofMillis(20);
 
     private final RoutingLimits limits;
     private final Freshness freshness;
@@ -26,7 +26,7 @@
     private final UpstreamDirectory upstreams;
     private final RollOutTracker rollOuts;
     private final PeerLoads peerLoads = new PeerLoads();
-    private final UpstreamSelector selector;
+    private final LoadAdmission loadAdmission;
     private final PlacementRules placementRules;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final PoisonRegister poisonRegister = new PoisonRegister();
@@ -57,7 +57,11 @@
                         limits.outageGracePeriod(), s -> config.flatMap(c -> c.serviceTraits(s)));
         rollOuts = new RollOutTracker(limits);
         placementRules = new PlacementRules(limits, upstreams.notices());
-        selector = new UpstreamSelector(zone, upstreams, peerLoads);
+        loadAdmission =
+                new LoadAdmission(
+                        upstreams,
+                        new UpstreamSelector(zone, upstreams, peerLoads),
+                        new RoomRules(zone, peerLoads, routers));
     }
 
     /** When the configuration was last confirmed, and whether it is still up to date. */
@@ -82,6 +86,11 @@
         return peerLoads;
     }
 
+    /** The limits of what is placed on upstreams, and the jobs that wait. */
+    public LoadAdmission loadAdmission() {
+        return loadAdmission;
+    }
+
     /** Sets what is called, on the control thread, after each choice of an upstream. */
     public void setSendListener(BiConsumer<Job, Send> listener) {
         sendListener = listener;
@@ -89,10 +98,7 @@
 
     /** What this router has under way, by upstream. */
     public List<OwnLoad> ownLoads() {
-        return upstreams.upstreamStates().stream()
-                .filter(state -> state.runningSends() > 0)
-                .map(UpstreamState::ownLoad)
-                .toList();
+        return upstreams.ownLoads();
     }
 
     /** The configuration; empty until the first one is known. */
@@ -107,6 +113,7 @@
         }
         config = Optional.of(newConfig);
         upstreams.onConfigChange();
+        loadAdmission.onConfigChange();
         return true;
     }
 
@@ -123,6 +130,7 @@
     /** Replaces the live routers among which limits are divided. */
     public void setLiveRouters(LiveRouters newRouters) {
         routers = newRouters;
+        loadAdmission.setLiveRouters(newRouters);
     }
 
     /** Checks configuration, route and key of a request; {@link #routeJob} may still refuse it. */
@@ -130,11 +138,14 @@
         return admission.admit(config, request, nowNanos, wallMillis);
     }
 
-    /** Chooses an upstream for a job and records the send, or refuses. */
+    /** Chooses an upstream for a job and records the send, or refuses it or lets it wait. */
     public PlacementResult routeJob(Job job, String requestDigest, long nowNanos, long wallMillis) {
         if (!admission.isKeyStillValid(config, job, nowNanos, wallMillis)) {
             return refusalOrOutcomeUnknown(job, RefusalCause.STALE_CONFIGURATION);
         }
+        if (loadAdmission.isWaiting(job) && !RequestAdmission.isRouteInForce(config, job)) {
+            return refusalOrOutcomeUnknown(job, RefusalCause.UNKNOWN_ROUTE);
+        }
         if (job.deadlineNanos() - nowNanos < MIN_TIME_LEFT.toNanos()) {
             return new Refused(
                     job.possibleRuns() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE);
@@ -155,12 +166,15 @@
                                         nowNanos,
                                         routers.assumedCount()));
         UpstreamRule rule = commonRule();
-        Optional<UpstreamState> upstream =
+        List<UpstreamRule> rules =
                 rollOuts.upstreamRules(job, routers.assumedCount(), nowNanos).stream()
-                        .map(r -> selector.select(job, selection.model(), rule.and(r), nowNanos))
-                        .flatMap(Optional::stream)
-                        .findFirst();
-        if (upstream.isEmpty()) {
+                        .map(rule::and)
+                        .toList();
+        UpstreamChoice choice = loadAdmission.choose(job, selection.model(), rules, nowNanos);
+        if (choice.lacksRoom()) {
+            return loadAdmission.waitOrRefuse(job, nowNanos);
+        }
+        if (choice.upstream().isEmpty()) {
             return noUpstream(job, nowNanos);
         }
         if (job.wasSentBefore()
@@ -169,8 +183,9 @@
                         .tryAcquireRetry(nowNanos, routers.assumedCount())) {
             return refusalOrOutcomeUnknown(job, RefusalCause.OVERLOADED);
         }
-        Send send = UpstreamSelector.newSend(upstream.get(), job, selection, nowNanos);
-        recordSend(send, upstream.get(), job, nowNanos);
+        UpstreamState upstream = choice.upstream().get();
+        Send send = UpstreamSelector.newSend(upstream, job, selection, nowNanos);
+        recordSend(send, upstream, job, nowNanos);
         return send;
     }
 
@@ -186,20 +201,18 @@
             return false;
         }
         ServiceState service = stateOf(job.service());
+        Duration usualWait = service.waits(send.model()).value();
         boolean isGivenUp =
                 upstreams
                         .state(send.upstream().incarnation())
-                        .map(
+                        .filter(
                                 state ->
                                         answerBegun
-                                                ? SilenceRule.isStalled(
+                                                ? !SilenceRule.isStalled(
                                                         state, job.route(), silence, nowNanos)
-                                                : SilenceRule.isLost(
-                                                        state,
-                                                        send,
-                                                        service.waits(send.model()).value(),
-                                                        silence))
-                        .orElse(true);
+                                                : !SilenceRule.isLost(
+                                                        state, send, usualWait, silence))
+                        .isEmpty();
         UpstreamRule rule = commonRule();
         return isGivenUp
                 && service.retryBudget().hasSpareRetries(nowNanos, routers.assumedCount())
@@ -248,19 +261,10 @@
             upstreams.remove(send.upstream().id(), nowNanos);
         }
         rollOuts.onSendEnd(report, job, upstreams.runningRequests(send.upstream()), nowNanos);
-        return recordPoisonEvidence(job, requestDigest, report, nowNanos);
-    }
-
-    private boolean recordPoisonEvidence(
-            Job job, String requestDigest, SendReport report, long nowNanos) {
-        List<PromptPart> parts = job.request().parts();
-        if (report.provesHarmless(nowNanos)) {
-            poisonRegister.onAnswer(requestDigest, parts, nowNanos);
-            return false;
-        }
-        Incarnation upstream = report.send().upstream().incarnation();
-        return report.outcome() == SendOutcome.BROKEN
-                && poisonRegister.onCrash(requestDigest, parts, upstream, nowNanos);
+        boolean newPoison =
+                poisonRegister.onSendEnd(requestDigest, job.request().parts(), report, nowNanos);
+        loadAdmission.onSendEnd(job, report, nowNanos);
+        return newPoison;
     }
 
     private static Refused refusalOrOutcomeUnknown(Job job, RefusalCause cause) {
@@ -284,6 +288,7 @@
         job.onSend(send.upstream().incarnation());
         state.onSend(send, job.request(), nowNanos);
         rollOuts.onSend(send, job, nowNanos);
+        loadAdmission.onSend(job, send, nowNanos);
         sendListener.accept(job, send);
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -80,6 +80,14 @@
                 .toList();
     }
 
+    /** What this router has under way, by upstream. */
+    List<OwnLoad> ownLoads() {
+        return upstreamStates.values().stream()
+                .filter(state -> state.runningSends() > 0)
+                .map(UpstreamState::ownLoad)
+                .toList();
+    }
+
     private Stream<UpstreamState> statesWithKey(int key) {
         return upstreamStates.values().stream().filter(state -> state.key() == key);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -100,6 +100,10 @@
         prefixCache.setCapacityTokens(tokens / 2);
     }
 
+    Optional<EngineTraits> engineTraits() {
+        return engineTraits;
+    }
+
     boolean runsLargeAndSmallModels() {
         return engineTraits.filter(EngineTraits::hasSmallAndLargeModels).isPresent();
     }
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/AccountUse.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/AccountUse.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Engine time that the accounts have used lately at a service, as sent by this router. All accounts
@@ -16,6 +17,14 @@
     /** Long enough that a burst of some seconds counts as a whole. */
     private static final Duration HALF_LIFE = Duration.ofSeconds(5);
 
+    /**
+     * Uses up to this many times the share count as within it, since the uses of accounts that send
+     * the same differ by chance.
+     */
+    private static final double SHARE_TOLERANCE = 1.25;
+
+    private static final int MAX_EXCESS = 7;
+
     /** A use this small orders nothing any more. */
     private static final double NEGLIGIBLE_COST = 1;
 
@@ -39,6 +48,25 @@
         return costs.getOrDefault(account, 0.0);
     }
 
+    /** Orders requests by rank, then by {@link #excess}; the lowest number leaves first. */
+    static int priority(int rank, int excess) {
+        return rank * (MAX_EXCESS + 1) + excess;
+    }
+
+    /**
+     * How often an account has doubled its share; 0 while it is within it.
+     *
+     * @param waiting accounts that have a share although they may have used nothing
+     */
+    int excess(String account, Set<String> waiting) {
+        double total = costs.values().stream().mapToDouble(cost -> cost).sum();
+        long others = waiting.stream().filter(name -> !costs.containsKey(name)).count();
+        double share = SHARE_TOLERANCE * total / Math.max(1, costs.size() + others);
+        return use(account) <= share
+                ? 0
+                : Math.min(MAX_EXCESS, 1 + Math.getExponent(use(account) / share));
+    }
+
     private void decay(long nowNanos) {
         double halfLives = (double) (nowNanos - updatedNanos) / HALF_LIFE.toNanos();
         updatedNanos = nowNanos;
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/DrainRate.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/DrainRate.java
@@ -1,6 +1,8 @@
 package org.wigeonferry.routing.waiting;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -11,13 +13,22 @@
  */
 public final class DrainRate {
     private static final double NEW_DURATION_WEIGHT = 0.05;
+    private static final double NEW_START_WEIGHT = 0.02;
+
+    /** Bounds the predicted wait of requests that hardly ever leave before more urgent ones. */
+    private static final double MIN_REMAINING_SHARE = 0.05;
+
+    /** Part of the sends that requests of a priority make up. */
+    private final Map<Integer, Double> shareByPriority = new HashMap<>();
 
     private Optional<Double> meanNanos = Optional.empty();
     private int running;
 
-    /** Records that a send has started. */
-    public void onStart() {
+    /** Records that a send of a request with this {@link WaitingQueue#priority} has started. */
+    public void onStart(int priority) {
         running++;
+        shareByPriority.replaceAll((key, share) -> share * (1 - NEW_START_WEIGHT));
+        shareByPriority.merge(priority, NEW_START_WEIGHT, Double::sum);
     }
 
     /**
@@ -35,6 +46,19 @@
         return meanNanos.map(mean -> Duration.ofNanos((long) (ends * mean / Math.max(1, running))));
     }
 
+    /**
+     * Expected time until this many sends have ended that are not taken by more urgent requests
+     * which come in the meantime; empty until one was answered.
+     */
+    Optional<Duration> timeForPriority(double ends, int priority) {
+        double moreUrgent =
+                shareByPriority.entrySet().stream()
+                        .filter(entry -> entry.getKey() < priority)
+                        .mapToDouble(Map.Entry::getValue)
+                        .sum();
+        return timeFor(ends / Math.max(MIN_REMAINING_SHARE, 1 - moreUrgent));
+    }
+
     private void recordDuration(Duration duration) {
         double nanos = duration.toNanos();
         meanNanos =
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/WaitingQueue.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/WaitingQueue.java
@@ -10,16 +10,18 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 
 /**
  * The requests that wait for room at the upstreams of one service.
  *
  * <p>Answers bursts of several times the capacity: a request that can't be sent in time is refused
  * when it comes, and one that is overtaken until it can't be sent in time is refused then, instead
- * of at its deadline. Requests leave by rank, then by the use of their account, then by their
- * latest start. A request that finds no room lets others pass, but only a few times, so that small
- * requests do not starve a large one. Invariant: the sums are those of the waiting requests, within
- * the limits. Owned by the control thread.
+ * of at its deadline. Requests leave by rank, then by how far their account is beyond its share,
+ * then by their latest start. A request that finds no room lets others pass, but only a few times,
+ * so that small requests do not starve a large one. Invariant: the sums are those of the waiting
+ * requests, within the limits. Owned by the control thread.
  */
 public final class WaitingQueue {
     /** Requests without room after which a pass ends; each try is a placement decision. */
@@ -58,20 +60,22 @@
 
     /** Adds a request if it can be sent in time and the limits allow it. */
     public QueueDecision offer(WaitingRequest request, long nowNanos) {
-        Comparator<WaitingRequest> order = order();
+        add(request);
+        ToIntFunction<WaitingRequest> priority = priorities();
+        Comparator<WaitingRequest> order = order(priority);
         long before = requests.values().stream().filter(r -> order.compare(r, request) < 0).count();
-        Duration wait = timeFor(before + 1);
+        Duration wait = timeFor(before + 1, priority.applyAsInt(request));
         if (nowNanos + wait.toNanos() - request.latestStartNanos() > 0) {
+            remove(request.number());
             return new QueueDecision(Optional.of(WaitRefusal.WAIT_TOO_LONG), wait, List.of());
         }
-        add(request);
         List<Eviction> evictions = evictBeyondLimits();
         if (!requests.containsKey(request.number())) {
             List<Eviction> others =
                     evictions.stream().filter(e -> !e.request().equals(request)).toList();
             return new QueueDecision(Optional.of(WaitRefusal.QUEUE_FULL), wait, others);
         }
-        evictions.addAll(evictTooLate(request, order, nowNanos));
+        evictions.addAll(evictTooLate(request, priority, nowNanos));
         return new QueueDecision(Optional.empty(), wait, evictions);
     }
 
@@ -110,6 +114,11 @@
         }
     }
 
+    /** Priority of a request with this rank and account; the lowest number leaves first. */
+    public int priority(int rank, String account) {
+        return priorities().applyAsInt(new WaitingRequest(0, account, rank, 0, 0, 0, 0));
+    }
+
     /** All waiting requests, in the order in which they leave. */
     public List<WaitingRequest> inOrder() {
         return requests.values().stream().sorted(order()).toList();
@@ -129,12 +138,27 @@
     }
 
     private Comparator<WaitingRequest> order() {
-        return Comparator.comparingInt(WaitingRequest::rank)
-                .thenComparingDouble(request -> use.use(request.account()))
+        return order(priorities());
+    }
+
+    private static Comparator<WaitingRequest> order(ToIntFunction<WaitingRequest> priority) {
+        return Comparator.comparingInt(priority)
                 .thenComparingLong(WaitingRequest::latestStartNanos)
                 .thenComparingLong(WaitingRequest::number);
     }
 
+    /** The priorities of requests as of now; accounts that wait have a share too. */
+    private ToIntFunction<WaitingRequest> priorities() {
+        Set<String> waiting =
+                requests.values().stream().map(WaitingRequest::account).collect(Collectors.toSet());
+        Map<String, Integer> excess = new HashMap<>();
+        return request ->
+                AccountUse.priority(
+                        request.rank(),
+                        excess.computeIfAbsent(
+                                request.account(), account -> use.excess(account, waiting)));
+    }
+
     private void add(WaitingRequest request) {
         requests.put(request.number(), request);
         tokens += request.tokens();
@@ -174,12 +198,14 @@
 
     /** Evicts requests behind a new one that can't be sent in time any more. */
     private List<Eviction> evictTooLate(
-            WaitingRequest added, Comparator<WaitingRequest> order, long nowNanos) {
+            WaitingRequest added, ToIntFunction<WaitingRequest> priority, long nowNanos) {
+        Comparator<WaitingRequest> order = order(priority);
         List<Eviction> evictions = new ArrayList<>();
         int position = 0;
-        for (WaitingRequest request : inOrder()) {
+        for (WaitingRequest request : requests.values().stream().sorted(order).toList()) {
             position++;
-            double waitNanos = timeFor(position).toNanos() / WAIT_ERROR_FACTOR;
+            Duration wait = timeFor(position, priority.applyAsInt(request));
+            double waitNanos = wait.toNanos() / WAIT_ERROR_FACTOR;
             boolean tooLate = nowNanos + (long) waitNanos - request.latestStartNanos() > 0;
             if (tooLate && order.compare(request, added) > 0) {
                 remove(request.number());
@@ -190,7 +216,7 @@
         return evictions;
     }
 
-    private Duration timeFor(double ends) {
-        return drainRate.timeFor(ends).orElse(Duration.ZERO);
+    private Duration timeFor(double ends, int priority) {
+        return drainRate.timeForPriority(ends, priority).orElse(Duration.ZERO);
     }
 }
--- a/routing/src/test/java/org/wigeonferry/routing/waiting/WaitingQueueTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/waiting/WaitingQueueTest.java
@@ -39,7 +39,7 @@
 
     /** Ten sends that run for a second each: the queue drains by one request in 100 ms. */
     private void drainTenPerSecond() {
-        IntStream.range(0, 11).forEach(i -> drainRate.onStart());
+        IntStream.range(0, 11).forEach(i -> drainRate.onStart(0));
         drainRate.onEnd(Optional.of(Duration.ofSeconds(1)));
     }
 
@@ -64,10 +64,10 @@
     @Test
     void overtakenRequestThatCannotStartInTimeAnyMoreIsEvicted() {
         drainTenPerSecond();
-        offer(request(1, "a", 1, 120));
+        offer(request(1, "a", 1, 130));
         QueueDecision decision = queue.offer(request(2, "a", 0, 1000), 0);
         assertThat(decision.evictions())
-                .containsExactly(new Eviction(request(1, "a", 1, 120), WaitRefusal.WAIT_TOO_LONG));
+                .containsExactly(new Eviction(request(1, "a", 1, 130), WaitRefusal.WAIT_TOO_LONG));
     }
 
     @Test
