--- a/routing/src/main/java/org/wigeonferry/routing/EscalationRule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/EscalationRule.java
@@ -27,7 +27,7 @@
             Function<String, Optional<Duration>> startOf,
             long nowNanos) {
         List<String> models = job.route().models();
-        if (models.isEmpty()) {
+        if (models.isEmpty() || job.lowConfidenceAnswerDropped()) {
             return false;
         }
         return startOf.apply(models.get(models.size() - 1))
--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -68,15 +68,14 @@
         return false;
     }
 
-    /** Counts the end of a send; true if a suspect of its request is condemned from now on. */
-    boolean onSendEnd(Job job, String digest, SendReport report, long nowNanos) {
-        List<PromptPart> parts = job.request().parts();
+    /** Records what the end of a send says of its request; true if it is condemned from now on. */
+    boolean onSendEnd(String digest, List<PromptPart> parts, SendReport report, long nowNanos) {
         if (report.provesHarmless(nowNanos)) {
             onAnswer(digest, parts, nowNanos);
             return false;
         }
-        Incarnation upstream = report.send().upstream().incarnation();
-        return report.outcome() == SendOutcome.BROKEN && onCrash(digest, parts, upstream, nowNanos);
+        return report.outcome() == SendOutcome.BROKEN
+                && onCrash(digest, parts, report.send().upstream().incarnation(), nowNanos);
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
-import java.util.function.Function;
 import org.wigeonferry.routing.prediction.StartEstimate;
 
 /**
@@ -19,17 +18,17 @@
  */
 public final class RoutingState {
     /** Shortest time to the deadline with which a request is still sent. */
-    private static final Duration MIN_TIME_LEFT = Duration.ofMillis(20);
+    static final Duration MIN_TIME_LEFT = Duration.ofMillis(20);
 
     private final RoutingLimits limits;
     private final Freshness freshness;
-    private final ModelSelector modelSelector;
     private final RequestAdmission admission;
     private final UpstreamDirectory upstreams;
     private final RollOutTracker rollOuts;
     private final PeerLoads peerLoads = new PeerLoads();
     private final ReceivedLoads receivedLoads = new ReceivedLoads();
-    private final UpstreamSelector selector;
+    private final ModelChoice modelChoice;
+    private final LoadAdmission loadAdmission;
     private final PlacementRules placementRules;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final PoisonRegister poisonRegister = new PoisonRegister();
@@ -52,7 +51,6 @@
             LiveRouters routers) {
         this.limits = limits;
         this.freshness = freshness;
-        this.modelSelector = modelSelector;
         admission = new RequestAdmission(freshness, randomSamples);
         this.routers = routers;
         upstreams =
@@ -60,7 +58,10 @@
                         limits.outageGracePeriod(), s -> config.flatMap(c -> c.serviceTraits(s)));
         rollOuts = new RollOutTracker(limits);
         placementRules = new PlacementRules(limits, upstreams.notices());
-        selector = new UpstreamSelector(zone, upstreams, peerLoads);
+        UpstreamSelector selector = new UpstreamSelector(zone, upstreams, peerLoads);
+        modelChoice = new ModelChoice(modelSelector, selector, this::rulesFor);
+        loadAdmission =
+                new LoadAdmission(upstreams, selector, new RoomRules(zone, peerLoads, routers));
     }
 
     /** When the configuration was last confirmed, and whether it is still up to date. */
@@ -90,6 +91,11 @@
         return receivedLoads;
     }
 
+    /** The limits of what is placed on upstreams, and the jobs that wait. */
+    public LoadAdmission loadAdmission() {
+        return loadAdmission;
+    }
+
     /** Sets what is called, on the control thread, after each choice of an upstream. */
     public void setSendListener(BiConsumer<Job, Send> listener) {
         sendListener = listener;
@@ -97,10 +103,7 @@
 
     /** What this router has under way, by upstream. */
     public List<OwnLoad> ownLoads() {
-        return upstreams.upstreamStates().stream()
-                .filter(state -> state.runningSends() > 0)
-                .map(UpstreamState::ownLoad)
-                .toList();
+        return upstreams.ownLoads();
     }
 
     /** The configuration; empty until the first one is known. */
@@ -115,6 +118,7 @@
         }
         config = Optional.of(newConfig);
         upstreams.onConfigChange();
+        loadAdmission.onConfigChange();
         return true;
     }
 
@@ -131,6 +135,7 @@
     /** Replaces the live routers among which limits are divided. */
     public void setLiveRouters(LiveRouters newRouters) {
         routers = newRouters;
+        loadAdmission.setLiveRouters(newRouters);
     }
 
     /** Checks configuration, route and key of a request; {@link #routeJob} may still refuse it. */
@@ -138,11 +143,14 @@
         return admission.admit(config, request, nowNanos, wallMillis);
     }
 
-    /** Chooses an upstream for a job and records the send, or refuses. */
+    /** Chooses an upstream for a job and records the send, or refuses it or lets it wait. */
     public PlacementResult routeJob(Job job, String requestDigest, long nowNanos, long wallMillis) {
         if (!admission.isKeyStillValid(config, job, nowNanos, wallMillis)) {
             return refusalOrOutcomeUnknown(job, RefusalCause.STALE_CONFIGURATION);
         }
+        if (loadAdmission.isWaiting(job) && !RequestAdmission.isRouteInForce(config, job)) {
+            return refusalOrOutcomeUnknown(job, RefusalCause.UNKNOWN_ROUTE);
+        }
         if (job.deadlineNanos() - nowNanos < MIN_TIME_LEFT.toNanos()) {
             return new Refused(
                     job.possibleRuns() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE);
@@ -155,9 +163,12 @@
             return refusalOrOutcomeUnknown(job, RefusalCause.NOT_RUN);
         }
         ModelSelection selection = selectModel(job, nowNanos);
-        Optional<SelectedUpstream> upstream =
-                firstOver(job, nowNanos, r -> selector.select(job, selection.model(), r, nowNanos));
-        if (upstream.isEmpty()) {
+        UpstreamChoice choice =
+                loadAdmission.choose(job, selection.model(), rulesFor(job, nowNanos), nowNanos);
+        if (choice.lacksRoom()) {
+            return loadAdmission.waitOrRefuse(job, nowNanos);
+        }
+        if (choice.upstream().isEmpty()) {
             return noUpstream(job, nowNanos);
         }
         if (job.wasSentBefore()
@@ -166,18 +177,16 @@
                         .tryAcquireRetry(nowNanos, routers.assumedCount())) {
             return refusalOrOutcomeUnknown(job, RefusalCause.OVERLOADED);
         }
-        Send send = UpstreamSelector.newSend(upstream.get(), job, selection, nowNanos);
-        recordSend(send, upstream.get().state(), job, nowNanos);
+        SelectedUpstream upstream = choice.upstream().get();
+        Send send = UpstreamSelector.newSend(upstream, job, selection, nowNanos);
+        recordSend(send, upstream.state(), job, nowNanos);
         return send;
     }
 
     /** How soon a job could get the first byte of its response, if it were sent now. */
     public StartEstimate startEstimate() {
-        return (job, nowNanos) -> {
-            Optional<String> model = selectModel(job, nowNanos).model();
-            return firstOver(
-                    job, nowNanos, rule -> selector.shortestTime(job, model, rule, nowNanos));
-        };
+        return (job, nowNanos) ->
+                modelChoice.start(job, selectModel(job, nowNanos).model(), nowNanos);
     }
 
     /**
@@ -192,16 +201,17 @@
             return false;
         }
         ServiceState service = stateOf(job.service());
+        Duration usualWait = service.waits(send.model()).value();
         boolean isGivenUp =
                 upstreams
                         .state(send.upstream().incarnation())
-                        .map(
+                        .filter(
                                 state ->
                                         answerBegun
-                                                ? SilenceRule.isStalled(
+                                                ? !SilenceRule.isStalled(
                                                         state, job.route(), silence, nowNanos)
-                                                : service.isLost(state, send, silence))
-                        .orElse(true);
+                                                : !service.isLost(state, send, silence))
+                        .isEmpty();
         UpstreamRule rule = commonRule();
         return isGivenUp
                 && service.retryBudget().hasSpareRetries(nowNanos, routers.assumedCount())
@@ -248,7 +258,10 @@
             upstreams.remove(send.upstream().id(), nowNanos);
         }
         rollOuts.onSendEnd(report, job, upstreams.runningRequests(send.upstream()), nowNanos);
-        return poisonRegister.onSendEnd(job, requestDigest, report, nowNanos);
+        boolean newPoison =
+                poisonRegister.onSendEnd(requestDigest, job.request().parts(), report, nowNanos);
+        loadAdmission.onSendEnd(job, report, nowNanos);
+        return newPoison;
     }
 
     private static Refused refusalOrOutcomeUnknown(Job job, RefusalCause cause) {
@@ -262,34 +275,14 @@
     }
 
     private ModelSelection selectModel(Job job, long nowNanos) {
-        boolean mayEscalate =
-                stateOf(job.service()).hasSpareRetries(nowNanos, routers.assumedCount())
-                        && EscalationRule.allows(
-                                job,
-                                stateOf(job.service()),
-                                largest -> startOf(largest, job, nowNanos),
-                                nowNanos);
-        return modelSelector.select(job, mayEscalate);
-    }
-
-    /** Empty unless times are predicted for the service. */
-    private Optional<Duration> startOf(String model, Job job, long nowNanos) {
-        return !selector.predictsTimes(job.service(), nowNanos)
-                ? Optional.empty()
-                : firstOver(
-                        job,
-                        nowNanos,
-                        rule -> selector.shortestTime(job, Optional.of(model), rule, nowNanos));
+        return modelChoice.select(job, stateOf(job.service()), routers.assumedCount(), nowNanos);
     }
 
-    /** The first result over the rules for a job's upstream, which start with the preferred one. */
-    private <T> Optional<T> firstOver(
-            Job job, long nowNanos, Function<UpstreamRule, Optional<T>> choice) {
+    private List<UpstreamRule> rulesFor(Job job, long nowNanos) {
         UpstreamRule rule = commonRule();
         return rollOuts.upstreamRules(job, routers.assumedCount(), nowNanos).stream()
-                .map(r -> choice.apply(rule.and(r)))
-                .flatMap(Optional::stream)
-                .findFirst();
+                .map(rule::and)
+                .toList();
     }
 
     private UpstreamRule commonRule() {
@@ -303,6 +296,7 @@
         job.onSend(send.upstream().incarnation());
         state.onSend(send, job.request(), nowNanos);
         rollOuts.onSend(send, job, nowNanos);
+        loadAdmission.onSend(job, send, nowNanos);
         sendListener.accept(job, send);
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamDirectory.java
@@ -103,6 +103,14 @@
         return serviceSpeeds.computeIfAbsent(service, key -> new ServiceSpeed());
     }
 
+    /** What this router has under way, by upstream. */
+    List<OwnLoad> ownLoads() {
+        return upstreamStates.values().stream()
+                .filter(state -> state.runningSends() > 0)
+                .map(UpstreamState::ownLoad)
+                .toList();
+    }
+
     /** Rises each time an incarnation is added or removed. */
     long membershipChanges() {
         return membershipChanges;
