Move the state of a call's sends out of RoutedCall

RoutedCall held the current send, the stream state and the last server error beside the decisions on them. No behavior changes.

--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.PlacementResult;
@@ -19,9 +19,8 @@
  * Serves one request: sends it to an upstream, resends it where that is allowed (the request is
  * repeatable, or it is proved that it did not run), and responds to the caller.
  *
- * <p>Invariant: at most one send is in progress; callbacks of a send are ignored once it has been
- * superseded; the caller gets exactly one final response. No method of Jetty that may call back is
- * called while the monitor of this object is held. Thread safe.
+ * <p>Invariant: callbacks of a send are ignored once it has been superseded; the caller gets
+ * exactly one final response. Thread safe.
  */
 final class RoutedCall {
     private static final int GATEWAY_TIMEOUT = 504;
@@ -32,12 +31,8 @@
     private final CallerResponse callerResponse;
     private final CallLog log;
     private final SendRecorder recorder;
-    private final AtomicBoolean finished = new AtomicBoolean();
-    private Optional<RoutedSend> currentSend = Optional.empty();
-    private Optional<CompleteResponse> lastServerError = Optional.empty();
-    private Optional<String> lastEventId;
-    private boolean streaming;
-    private Runnable cancelDeadlineTimer = () -> {};
+    private final CallSends sends;
+    private volatile Runnable cancelDeadlineTimer = () -> {};
 
     RoutedCall(CallContext context, Job job, CallerRequest caller, CallerResponse callerResponse) {
         this.context = context;
@@ -46,7 +41,7 @@
         this.callerResponse = callerResponse;
         log = new CallLog(context.metrics(), job, context.control().nanoTime());
         recorder = new SendRecorder(context, job, caller.requestDigest(), log);
-        lastEventId = job.request().resumeAfter();
+        sends = new CallSends(job.request().resumeAfter());
     }
 
     /** Starts the deadline timer and the first send. Called on the control thread. */
@@ -66,26 +61,28 @@
     }
 
     /** Whether events have been sent to the caller. */
-    synchronized boolean isStreaming() {
-        return streaming;
+    boolean isStreaming() {
+        return sends.isStreaming();
     }
 
     /** Forwards complete events of a stream to the caller; ignores those of a superseded send. */
     void forwardEvents(
             RoutedSend routedSend, ResponseHead head, EventScanner scanner, ByteBuffer events) {
-        synchronized (this) {
-            if (finished.get() || !isCurrent(routedSend)) {
-                return;
-            }
-            if (!streaming) {
-                streaming = true;
-                log.recordTimeToFirstEvent();
-                callerResponse.startStream(head.status(), head.forwardedFields());
-            }
-            lastEventId = scanner.lastId().or(() -> lastEventId);
-            callerResponse.bufferEvents(events);
+        boolean accepted =
+                sends.tryBufferEvents(
+                        routedSend,
+                        scanner.lastId(),
+                        events,
+                        callerResponse,
+                        () -> startStream(head));
+        if (accepted) {
+            callerResponse.flush();
         }
-        callerResponse.flush();
+    }
+
+    private void startStream(ResponseHead head) {
+        log.recordTimeToFirstEvent();
+        callerResponse.startStream(head.status(), head.forwardedFields());
     }
 
     /** Records what an upstream says of itself. */
@@ -110,22 +107,12 @@
 
     private void resendOrFinish(
             RoutedSend routedSend, SendReport report, Optional<CompleteResponse> response) {
-        boolean answered;
-        synchronized (this) {
-            if (finished.get() || !isCurrent(routedSend)) {
-                return;
-            }
-            currentSend = Optional.empty();
-            // After the first events only the rest of the stream answers the request.
-            boolean restOfStream = response.isEmpty();
-            answered = report.outcome() == SendOutcome.ANSWERED && (restOfStream || !streaming);
-            if (answered) {
-                finish();
-            } else {
-                response.ifPresent(serverError -> lastServerError = response);
-            }
+        NextStep next = sends.onEnded(routedSend, report.outcome(), response);
+        if (next == NextStep.NONE) {
+            return;
         }
-        if (answered) {
+        if (next == NextStep.RESPOND) {
+            releaseResources();
             sendResponse(response);
             return;
         }
@@ -149,7 +136,7 @@
     }
 
     private void selectUpstream() {
-        if (finished.get()) {
+        if (sends.isFinished()) {
             return;
         }
         long now = context.control().nanoTime();
@@ -165,18 +152,19 @@
 
     private void startSend(Send send) {
         RoutedSend routedSend = new RoutedSend(context, this, send);
-        synchronized (this) {
-            if (finished.get()) {
-                recorder.recordEnd(routedSend.toReport(SendOutcome.NOT_SENT), () -> {});
-                return;
-            }
-            currentSend = Optional.of(routedSend);
+        if (!sends.tryOpen(routedSend)) {
+            recorder.recordEnd(routedSend.toReport(SendOutcome.NOT_SENT), () -> {});
+            return;
         }
         log.logPlaced(send);
         HttpFields fields =
                 context.protocol()
                         .upstreamHeadersEncoder()
-                        .encode(caller.fields(), send, send.timeLeft(), lastEventIdIfStreaming());
+                        .encode(
+                                caller.fields(),
+                                send,
+                                send.timeLeft(),
+                                sends.lastEventIdIfStreaming());
         routedSend.start(
                 new UpstreamRequest(
                         send.upstream().address(),
@@ -186,25 +174,17 @@
                         caller.body()));
     }
 
-    private synchronized Optional<String> lastEventIdIfStreaming() {
-        return streaming ? lastEventId : Optional.empty();
-    }
-
     private void giveUp(Refused refused) {
-        RefusalCause cause = refused.cause();
-        boolean streamStarted;
-        Optional<CompleteResponse> serverError;
-        synchronized (this) {
-            if (!finish()) {
-                return;
-            }
-            streamStarted = streaming;
-            serverError = lastServerError;
+        Optional<CallEnd> end = finish();
+        if (end.isEmpty()) {
+            return;
         }
-        if (streamStarted) {
+        RefusalCause cause = refused.cause();
+        if (end.get().streaming()) {
             abortStream(cause);
             return;
         }
+        Optional<CompleteResponse> serverError = end.get().lastServerError();
         if (serverError.isPresent()) {
             sendResponse(serverError);
             return;
@@ -238,18 +218,14 @@
             RefusalCause causeWithoutSend,
             RefusalCause causeWithOpenSend,
             SendOutcome openSendOutcome) {
-        Optional<RoutedSend> openSend;
-        boolean streamStarted;
-        synchronized (this) {
-            if (!finish()) {
-                return;
-            }
-            openSend = currentSend;
-            streamStarted = streaming;
+        Optional<CallEnd> end = finish();
+        if (end.isEmpty()) {
+            return;
         }
-        RefusalCause cause = openSend.isPresent() ? causeWithOpenSend : causeWithoutSend;
-        openSend.ifPresent(routedSend -> routedSend.cancel(openSendOutcome));
-        if (streamStarted) {
+        List<RoutedSend> openSends = end.get().openSends();
+        RefusalCause cause = openSends.isEmpty() ? causeWithoutSend : causeWithOpenSend;
+        openSends.forEach(routedSend -> routedSend.cancel(openSendOutcome));
+        if (end.get().streaming()) {
             abortStream(cause);
             return;
         }
@@ -263,29 +239,26 @@
     }
 
     private void onCallerDisconnected() {
-        Optional<RoutedSend> openSend;
-        synchronized (this) {
-            if (!finish()) {
-                return;
-            }
-            openSend = currentSend;
+        Optional<CallEnd> end = finish();
+        if (end.isEmpty()) {
+            return;
         }
-        openSend.ifPresent(routedSend -> routedSend.cancel(SendOutcome.ABANDONED));
+        end.get().openSends().forEach(routedSend -> routedSend.cancel(SendOutcome.ABANDONED));
         log.logCallerDisconnected();
         callerResponse.abort(new IOException("caller disconnected"));
     }
 
-    private boolean isCurrent(RoutedSend routedSend) {
-        return currentSend.isPresent() && currentSend.get() == routedSend;
+    private Optional<CallEnd> finish() {
+        Optional<CallEnd> end = sends.finish();
+        if (end.isPresent()) {
+            releaseResources();
+        }
+        return end;
     }
 
-    private boolean finish() {
-        if (!finished.compareAndSet(false, true)) {
-            return false;
-        }
+    private void releaseResources() {
         cancelDeadlineTimer.run();
         caller.clearDisconnectAction();
         context.inFlight().remove(this);
-        return true;
     }
 }
