Hedge idempotent requests whose first send waits for unusually long

Load: a few upstreams among many are slow for a moment, and each request at one of them misses its latency objective although others are free.

HedgingRule decides from numbers only; HedgedPlacement chooses the second upstream; RoutingState.planHedgedSend records the send like any other, with a retry from the budget. CallSends holds up to two open sends and settles whose response counts. Off by default: limits.extra-send-share is 0.

A cancelled loser has the new outcome SUPERSEDED: no failure, suspension, poison or roll-out evidence, and it does not count as having overtaken earlier sends. Its wait counts in the estimates, which would fall otherwise. First attempts in roll-out evidence are now told by the send, as two may be open.

RoutedSend no longer takes a head after its end, which subtracted its queued tokens twice.

--- a/router/src/main/java/org/wigeonferry/router/CallLog.java
+++ b/router/src/main/java/org/wigeonferry/router/CallLog.java
@@ -17,6 +17,7 @@
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
 import org.wigeonferry.routing.UpstreamAnnouncement;
+import org.wigeonferry.routing.hedging.NoHedgeCause;
 
 /**
  * Logs the decisions on one call and its outcome, and updates the metrics.
@@ -52,6 +53,29 @@
                 .log("placed");
     }
 
+    /** Logs that a second send is made while the first has waited for its response. */
+    void logHedged(Send first, Send hedge) {
+        metrics.count("hedged_sends", "service", job.service());
+        long waitedNanos = hedge.startNanos() - first.startNanos();
+        newLogEvent(Level.INFO)
+                .addKeyValue("upstream", hedge.upstream().id())
+                .addKeyValue("first_upstream", first.upstream().id())
+                .addKeyValue("waited_ms", Duration.ofNanos(waitedNanos).toMillis())
+                .log("hedged");
+    }
+
+    /** Logs why there is no second send, although the first has waited for long. */
+    void logHedgeRefused(NoHedgeCause cause) {
+        String name = lowerCase(cause.name());
+        metrics.count("hedged_sends_refused_" + name, "service", job.service());
+        newLogEvent(Level.INFO).addKeyValue("cause", name).log("not hedged");
+    }
+
+    /** Counts a hedged send whose response reaches the caller. */
+    void recordHedgeWon() {
+        metrics.count("hedged_sends_won", "service", job.service());
+    }
+
     /**
      * Logs the end of a send; {@code first_ms} is -1 if no byte of the body arrived, {@code
      * gap_us}, the mean time between events, if there were fewer than two. The prompt's parts are
--- a/router/src/main/java/org/wigeonferry/router/NextStep.java
+++ b/router/src/main/java/org/wigeonferry/router/NextStep.java
@@ -6,7 +6,7 @@
  * <p>Immutable and thread safe.
  */
 enum NextStep {
-    /** Nothing: the send was superseded, or the call has ended. */
+    /** Nothing: the send was superseded, another one is open, or the call has ended. */
     NONE,
     /** Respond to the caller with what the send brought; the call has ended. */
     RESPOND,
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -1,6 +1,5 @@
 package org.wigeonferry.router;
 
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
@@ -31,7 +30,9 @@
     private final CallerResponse callerResponse;
     private final CallLog log;
     private final SendRecorder recorder;
+    private final FinalResponse finalResponse;
     private final CallSends sends;
+    private final HedgedSendPlanner hedgedSends;
     private volatile Runnable cancelDeadlineTimer = () -> {};
 
     RoutedCall(CallContext context, Job job, CallerRequest caller, CallerResponse callerResponse) {
@@ -41,7 +42,11 @@
         this.callerResponse = callerResponse;
         log = new CallLog(context.metrics(), job, context.control().nanoTime());
         recorder = new SendRecorder(context, job, caller.requestDigest(), log);
+        finalResponse = new FinalResponse(callerResponse, context.refusals(), log);
         sends = new CallSends(job.request().resumeAfter());
+        hedgedSends =
+                new HedgedSendPlanner(
+                        context, job, caller.requestDigest(), sends, log, this::startHedge);
     }
 
     /** Starts the deadline timer and the first send. Called on the control thread. */
@@ -68,14 +73,15 @@
     /** Forwards complete events of a stream to the caller; ignores those of a superseded send. */
     void forwardEvents(
             RoutedSend routedSend, ResponseHead head, EventScanner scanner, ByteBuffer events) {
-        boolean accepted =
+        Optional<Claim> claim =
                 sends.tryBufferEvents(
                         routedSend,
                         scanner.lastId(),
                         events,
                         callerResponse,
                         () -> startStream(head));
-        if (accepted) {
+        if (claim.isPresent()) {
+            settle(claim.get());
             callerResponse.flush();
         }
     }
@@ -85,6 +91,32 @@
         callerResponse.startStream(head.status(), head.forwardedFields());
     }
 
+    /**
+     * Makes a send whose answer has low confidence the one that decides how the call goes on; false
+     * if another one does already.
+     */
+    boolean tryDropAnswer(RoutedSend routedSend) {
+        Optional<Claim> claim = sends.tryClaim(routedSend);
+        claim.ifPresent(RoutedCall::cancelSuperseded);
+        return claim.isPresent();
+    }
+
+    /** Decides whether a send that waits for its response is hedged; on the control thread. */
+    void considerHedging(RoutedSend routedSend) {
+        hedgedSends.consider(routedSend);
+    }
+
+    private void settle(Claim claim) {
+        cancelSuperseded(claim);
+        if (claim.hedgeWon()) {
+            log.recordHedgeWon();
+        }
+    }
+
+    private static void cancelSuperseded(Claim claim) {
+        claim.superseded().forEach(other -> other.cancel(SendOutcome.SUPERSEDED));
+    }
+
     /** Records what an upstream says of itself. */
     void onAnnouncement(Send send, UpstreamAnnouncement announcement) {
         recorder.recordAnnouncement(send, announcement);
@@ -93,6 +125,9 @@
     /** Records the end of a send; then responds to the caller, or resends where that is allowed. */
     void onSendEnded(
             RoutedSend routedSend, SendReport report, Optional<CompleteResponse> response) {
+        if (report.outcome() == SendOutcome.ANSWERED) {
+            sends.tryClaim(routedSend).ifPresent(this::settle);
+        }
         log.logSendEnded(
                 report,
                 routedSend.responseHead(),
@@ -113,7 +148,7 @@
         }
         if (next == NextStep.RESPOND) {
             releaseResources();
-            sendResponse(response);
+            finalResponse.send(response);
             return;
         }
         if (job.route().kind().isRepeatable() || report.outcome().provedNotRun()) {
@@ -123,20 +158,8 @@
         giveUp(new Refused(RefusalCause.OUTCOME_UNKNOWN));
     }
 
-    private void sendResponse(Optional<CompleteResponse> response) {
-        if (response.isPresent()) {
-            CompleteResponse complete = response.get();
-            log.logAnswered(complete.head().status());
-            callerResponse.sendComplete(
-                    complete.head().status(), complete.head().forwardedFields(), complete.body());
-            return;
-        }
-        log.logStreamAnswered(callerResponse.streamFraming());
-        callerResponse.endStream();
-    }
-
     private void selectUpstream() {
-        if (sends.isFinished()) {
+        if (!sends.needsSend()) {
             return;
         }
         long now = context.control().nanoTime();
@@ -156,6 +179,27 @@
             recorder.recordEnd(routedSend.toReport(SendOutcome.NOT_SENT), () -> {});
             return;
         }
+        run(routedSend);
+    }
+
+    /** Starts a second send beside one that waits. Called on the control thread. */
+    private void startHedge(RoutedSend first, Send send) {
+        log.logHedged(first.send(), send);
+        RoutedSend hedge = new RoutedSend(context, this, send);
+        boolean opened = sends.tryOpenHedge(hedge);
+        context.trafficExecutor()
+                .execute(
+                        () -> {
+                            if (opened) {
+                                run(hedge);
+                            } else {
+                                hedge.cancel(SendOutcome.SUPERSEDED);
+                            }
+                        });
+    }
+
+    private void run(RoutedSend routedSend) {
+        Send send = routedSend.send();
         log.logPlaced(send);
         HttpFields fields =
                 context.protocol()
@@ -179,18 +223,12 @@
         if (end.isEmpty()) {
             return;
         }
-        RefusalCause cause = refused.cause();
-        if (end.get().streaming()) {
-            abortStream(cause);
-            return;
-        }
         Optional<CompleteResponse> serverError = end.get().lastServerError();
-        if (serverError.isPresent()) {
-            sendResponse(serverError);
+        if (serverError.isPresent() && !end.get().streaming()) {
+            finalResponse.send(serverError);
             return;
         }
-        log.logRefused(cause);
-        context.refusals().sendRefusal(callerResponse, refused);
+        finalResponse.refuse(refused, end.get().streaming());
     }
 
     private void onDeadline() {
@@ -225,17 +263,7 @@
         List<RoutedSend> openSends = end.get().openSends();
         RefusalCause cause = openSends.isEmpty() ? causeWithoutSend : causeWithOpenSend;
         openSends.forEach(routedSend -> routedSend.cancel(openSendOutcome));
-        if (end.get().streaming()) {
-            abortStream(cause);
-            return;
-        }
-        log.logRefused(cause);
-        context.refusals().sendRefusal(callerResponse, new Refused(cause));
-    }
-
-    private void abortStream(RefusalCause cause) {
-        log.logStreamAborted(cause, callerResponse.streamFraming());
-        callerResponse.abort(new IOException("stream aborted: " + cause));
+        finalResponse.refuse(new Refused(cause), end.get().streaming());
     }
 
     private void onCallerDisconnected() {
@@ -244,8 +272,7 @@
             return;
         }
         end.get().openSends().forEach(routedSend -> routedSend.cancel(SendOutcome.ABANDONED));
-        log.logCallerDisconnected();
-        callerResponse.abort(new IOException("caller disconnected"));
+        finalResponse.abandon();
     }
 
     private Optional<CallEnd> finish() {
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
-import org.wigeonferry.routing.Route;
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
@@ -25,18 +24,6 @@
     /** Bytes of a response that is not a stream which count as progress after its first ones. */
     private static final int MIN_PROGRESS_BYTES = 256;
 
-    /**
-     * A response that is not a stream is given up, and the request resent elsewhere, if it makes no
-     * progress for this share of the latency objective.
-     */
-    private static final double RESPONSE_TIMEOUT_SHARE = 0.9;
-
-    /**
-     * Share of the latency objective to wait for the first bytes of a stream before resending
-     * elsewhere.
-     */
-    private static final double FIRST_EVENT_TIMEOUT_SHARE = 0.5;
-
     /** Interval at which it is checked again whether a resend is allowed. */
     private static final Duration SILENCE_RECHECK_INTERVAL = Duration.ofMillis(300);
 
@@ -67,8 +54,11 @@
     }
 
     void start(UpstreamRequest request) {
+        if (ended.get()) {
+            return;
+        }
         closeConnection = context.sender().send(request, this);
-        context.control().execute(this::checkSilence);
+        context.control().execute(this::watchSilence);
         if (call.job().route().kind().isStreamed()) {
             context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
         }
@@ -85,8 +75,9 @@
     @Override
     public void onHeaders(int status, HttpFields fields) {
         ResponseHead decodedHead = context.protocol().responseHeadDecoder().decode(status, fields);
-        responseFraming = Optional.of(MessageFraming.of(fields));
-        responseHead = Optional.of(decodedHead);
+        if (!tryRecordHead(decodedHead, fields)) {
+            return;
+        }
         long nowNanos = context.control().nanoTime();
         context.control()
                 .execute(
@@ -98,7 +89,8 @@
             call.onAnnouncement(send, decodedHead.announcement());
         }
         if (decodedHead.isSuccess() && hasLowConfidence(decodedHead)) {
-            finish(SendOutcome.DOUBTED, Optional.empty());
+            boolean dropped = call.tryDropAnswer(this);
+            finish(dropped ? SendOutcome.DOUBTED : SendOutcome.SUPERSEDED, Optional.empty());
             return;
         }
         // Its body may have no end, so the send does not wait for it.
@@ -109,10 +101,10 @@
 
     @Override
     public void onBody(ByteBuffer bytes) {
-        ResponseHead decodedHead = responseHead.orElseThrow();
         if (ended.get()) {
             return;
         }
+        ResponseHead decodedHead = responseHead.orElseThrow();
         recordFirstByte();
         if (!isStreamed(decodedHead)) {
             collect(bytes);
@@ -123,6 +115,9 @@
 
     @Override
     public void onComplete() {
+        if (ended.get()) {
+            return;
+        }
         ResponseHead decodedHead = responseHead.orElseThrow();
         if (isStreamed(decodedHead)) {
             boolean complete = !scanner.hasIncompleteEvent() && scanner.eventCount() > 0;
@@ -157,6 +152,11 @@
                 send, outcome, responseHead.isPresent(), timeToFirstByte, meanEventGap);
     }
 
+    /** What was sent, and where. */
+    Send send() {
+        return send;
+    }
+
     /** Status and header fields of the response; empty before they arrive. */
     Optional<ResponseHead> responseHead() {
         return responseHead;
@@ -172,6 +172,11 @@
         return connectionFailure;
     }
 
+    private void watchSilence() {
+        checkSilence();
+        call.considerHedging(this);
+    }
+
     /**
      * Ends the send, so that the call is resent, if the upstream is silent for too long and routing
      * allows a resend; otherwise checks again later. Silence is not checked for requests that must
@@ -184,7 +189,8 @@
         long nowNanos = context.control().nanoTime();
         long lastActivityNanos = firstByteNanos == 0 ? send.startNanos() : lastProgressNanos;
         Duration silence = Duration.ofNanos(nowNanos - lastActivityNanos);
-        Duration timeLeft = silenceTimeout().minus(silence);
+        Duration timeLeft =
+                SilenceTimeouts.of(call.job().route(), firstByteNanos != 0).minus(silence);
         if (!timeLeft.isNegative() && !timeLeft.isZero()) {
             context.control().schedule(timeLeft, this::checkSilence);
         } else if (context.state()
@@ -208,20 +214,6 @@
         context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
     }
 
-    private Duration silenceTimeout() {
-        Route route = call.job().route();
-        if (!route.kind().isStreamed()) {
-            return shareOf(route.latencyObjective(), RESPONSE_TIMEOUT_SHARE);
-        }
-        return firstByteNanos == 0
-                ? shareOf(route.latencyObjective(), FIRST_EVENT_TIMEOUT_SHARE)
-                : route.maxEventGap();
-    }
-
-    private static Duration shareOf(Duration time, double share) {
-        return Duration.ofNanos((long) (time.toNanos() * share));
-    }
-
     private boolean isStreamed(ResponseHead decodedHead) {
         return call.job().route().kind().isStreamed() && decodedHead.isSuccess();
     }
@@ -279,11 +271,25 @@
     }
 
     private void finish(SendOutcome outcome, Optional<CompleteResponse> response) {
-        if (!ended.compareAndSet(false, true)) {
-            return;
+        SendReport report;
+        synchronized (this) {
+            if (!ended.compareAndSet(false, true)) {
+                return;
+            }
+            report = toReport(outcome);
         }
         closeConnection.run();
         reservation.close();
-        call.onSendEnded(this, toReport(outcome), response);
+        call.onSendEnded(this, report, response);
+    }
+
+    /** Keeps the head, unless the send has ended: then its report says that none arrived. */
+    private synchronized boolean tryRecordHead(ResponseHead decodedHead, HttpFields fields) {
+        if (ended.get()) {
+            return false;
+        }
+        responseFraming = Optional.of(MessageFraming.of(fields));
+        responseHead = Optional.of(decodedHead);
+        return true;
     }
 }
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -34,8 +34,11 @@
     private final int port;
 
     RouterHarness(List<ScriptedUpstream> upstreams) throws Exception {
+        this(upstreams, RoutingStates.empty());
+    }
+
+    RouterHarness(List<ScriptedUpstream> upstreams, RoutingState state) throws Exception {
         sender = new JettySender(Duration.ofMillis(500));
-        RoutingState state = RoutingStates.empty();
         RouterControl router =
                 new RouterControl(
                         "router",
@@ -81,6 +84,11 @@
         return (Long) metrics.registry().getGauges().get("response_bytes_reserved").getValue();
     }
 
+    /** Value of a counter of the service; 0 if nothing was counted. */
+    long count(String name) {
+        return metrics.registry().counter(name + "|service|service").getCount();
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(8000);
@@ -148,9 +156,27 @@
                 .addRoute(route("unsafe", RequestKind.UNSAFE))
                 .addRoute(route("stream", RequestKind.RESUMABLE_STREAM))
                 .addRoute(route("other", "//", RequestKind.SAFE))
+                .addRoute(modelRoute())
                 .build();
     }
 
+    /** A route with two models and an objective that leaves time for hedged sends. */
+    private static Route modelRoute() {
+        return new Route(
+                "models",
+                "example",
+                "/models/",
+                RequestKind.RESUMABLE_STREAM,
+                Duration.ofSeconds(8),
+                Duration.ofSeconds(4),
+                Duration.ofMillis(400),
+                3,
+                0,
+                true,
+                List.of("small", "large"),
+                List.of(new WeightedService("service", 1)));
+    }
+
     private static Route route(String name, RequestKind kind) {
         return route(name, "/" + name + "/", kind);
     }
--- a/router/src/test/java/org/wigeonferry/router/RoutingStates.java
+++ b/router/src/test/java/org/wigeonferry/router/RoutingStates.java
@@ -17,6 +17,15 @@
 
     /** A router of the zone {@code zone}, without configuration and upstreams. */
     static RoutingState empty() {
+        return withHedging(0);
+    }
+
+    /**
+     * The same with hedged sends, and answers of small models that need a confidence of 50.
+     *
+     * @param hedgedSendShare hedged sends allowed for each first send
+     */
+    static RoutingState withHedging(double hedgedSendShare) {
         return new RoutingState(
                 "zone",
                 new RoutingLimits(
@@ -27,10 +36,11 @@
                         0,
                         0.1,
                         24,
+                        hedgedSendShare,
                         Duration.ofSeconds(5),
                         REMOVAL_DELAY),
                 new Freshness(Duration.ofMinutes(5), Duration.ofSeconds(5)),
-                new ModelCascade(0),
+                new ModelCascade(hedgedSendShare > 0 ? 50 : 0),
                 () -> 0.5,
                 new LiveRouters("router", Set.of(), 1));
     }
--- a/router/src/test/java/org/wigeonferry/router/TestProtocol.java
+++ b/router/src/test/java/org/wigeonferry/router/TestProtocol.java
@@ -13,8 +13,8 @@
 import org.wigeonferry.routing.UpstreamAnnouncement;
 
 /**
- * A wire protocol for tests: the headers Id, Stamp, Not-Run, Leaving, Retry-After, Limit and
- * Last-Event-Id.
+ * A wire protocol for tests: the headers Id, Stamp, Not-Run, Leaving, Retry-After, Limit,
+ * Confidence, Model and Last-Event-Id.
  */
 final class TestProtocol {
     private static final Set<String> NOT_FORWARDED_FIELDS =
@@ -27,6 +27,7 @@
                 TestProtocol::decode,
                 (caller, send, timeLeft, resumeAfter) -> {
                     HttpFields.Mutable fields = HttpFields.build(forwardedFields(caller));
+                    send.model().ifPresent(model -> fields.put("Model", model));
                     resumeAfter.ifPresent(id -> fields.put("Last-Event-Id", id));
                     return fields;
                 },
@@ -38,7 +39,8 @@
                                 fields.contains("Not-Run"),
                                 status == 421,
                                 fields.contains("Content-Encoding"),
-                                Optional.empty(),
+                                Optional.ofNullable(fields.get("Confidence"))
+                                        .map(Integer::parseInt),
                                 Optional.empty(),
                                 new UpstreamAnnouncement(
                                         fields.contains("Leaving"),
--- a/routing/src/main/java/org/wigeonferry/routing/Job.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Job.java
@@ -23,6 +23,7 @@
     private boolean lowConfidenceAnswerDropped;
     private final AtomicInteger possibleRuns = new AtomicInteger();
     private int sends;
+    private Optional<Send> firstSend = Optional.empty();
 
     Job(
             RoutedRequest request,
@@ -98,17 +99,23 @@
         return sends > 0;
     }
 
-    /** The kind of request, while only the first of its sends has been made. */
-    Optional<RequestKind> firstAttemptOf() {
-        return sends == 1 ? Optional.of(route.kind()) : Optional.empty();
+    /** The kind of request, if a send was the first of its sends. */
+    Optional<RequestKind> firstAttemptOf(Send send) {
+        return firstSend.filter(send::equals).map(first -> route.kind());
+    }
+
+    /** Whether a send was the first one, and none has been made since. */
+    boolean isFirstAndOnly(Send send) {
+        return sends == 1 && firstSend.filter(send::equals).isPresent();
     }
 
     boolean wasSentTo(Incarnation incarnation) {
         return sentTo.contains(incarnation);
     }
 
-    void onSend(Incarnation incarnation) {
-        sentTo.add(incarnation);
+    void onSend(Send send) {
+        sentTo.add(send.upstream().incarnation());
+        firstSend = firstSend.or(() -> Optional.of(send));
         sends++;
         possibleRuns.incrementAndGet();
     }
--- a/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PoisonRegister.java
@@ -108,6 +108,26 @@
         }
     }
 
+    /** Whether a request may hold what crashes upstreams; such a request is sent singly. */
+    boolean isSuspected(String digest, List<PromptPart> parts) {
+        return !condemned.isEmpty()
+                && Suspects.of(digest, parts).stream().anyMatch(condemned::containsKey);
+    }
+
+    /**
+     * Records the end of a send.
+     *
+     * @return whether a suspect of the request is condemned from now on
+     */
+    boolean onSendEnd(String digest, List<PromptPart> parts, SendReport report, long nowNanos) {
+        if (report.provesHarmless(nowNanos)) {
+            onAnswer(digest, parts, nowNanos);
+            return false;
+        }
+        Incarnation upstream = report.send().upstream().incarnation();
+        return report.outcome() == SendOutcome.BROKEN && onCrash(digest, parts, upstream, nowNanos);
+    }
+
     /** What the other routers should know; counts as told from now on. */
     public PoisonReport report(long nowNanos) {
         Map<String, CrashReport> crashes =
--- a/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RollOutTracker.java
@@ -154,6 +154,11 @@
         return state(order).filter(s -> s != RollOutState.RUNNING).isPresent();
     }
 
+    /** Whether a new release of a service is being tried. */
+    boolean isRollOutRunning(String service) {
+        return record.order(service).filter(order -> !isFinished(order)).isPresent();
+    }
+
     /** Whether the move of a service's traffic to an order's release should start now. */
     public boolean shouldStartMove(RollOut order, long nowNanos) {
         return state(order).equals(Optional.of(RollOutState.RUNNING))
@@ -213,7 +218,8 @@
      */
     void onSendEnd(SendReport report, Job job, int running, long nowNanos) {
         recordSession(report.send(), job, nowNanos);
-        evidenceLog.onSendEnd(report, job.firstAttemptOf(), running, orderOf(report.send()));
+        evidenceLog.onSendEnd(
+                report, job.firstAttemptOf(report.send()), running, orderOf(report.send()));
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -7,7 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import org.wigeonferry.routing.hedging.HedgingRule;
 
 /**
  * The state that routing decisions depend on, and the decisions on requests.
@@ -28,6 +30,7 @@
     private final PeerLoads peerLoads = new PeerLoads();
     private final UpstreamSelector selector;
     private final PlacementRules placementRules;
+    private final HedgedPlacement hedgedPlacement;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final PoisonRegister poisonRegister = new PoisonRegister();
     private BiConsumer<Job, Send> sendListener = (job, send) -> {};
@@ -58,6 +61,13 @@
         rollOuts = new RollOutTracker(limits);
         placementRules = new PlacementRules(limits, upstreams.notices());
         selector = new UpstreamSelector(zone, upstreams, peerLoads);
+        hedgedPlacement =
+                new HedgedPlacement(
+                        new HedgingRule(limits.hedgedSendShare()),
+                        upstreams,
+                        selector,
+                        rollOuts,
+                        service -> false);
     }
 
     /** When the configuration was last confirmed, and whether it is still up to date. */
@@ -174,6 +184,25 @@
         return send;
     }
 
+    /**
+     * Decides whether a job whose first send is not answered yet is sent to a second upstream too;
+     * chooses the upstream and records the send.
+     */
+    public HedgePlan planHedgedSend(
+            Job job, Send first, String requestDigest, long nowNanos, long wallMillis) {
+        BooleanSupplier isAllowed =
+                () ->
+                        admission.isKeyStillValid(config, job, nowNanos, wallMillis)
+                                && !poisonRegister.isSuspected(
+                                        requestDigest, job.request().parts());
+        ServiceState service = stateOf(job.service());
+        HedgePlan plan =
+                hedgedPlacement.plan(
+                        job, first, service, commonRule(), isAllowed, routers, nowNanos);
+        plan.send().ifPresent(s -> stateOf(s).ifPresent(u -> recordSend(s, u, job, nowNanos)));
+        return plan;
+    }
+
     /**
      * Whether a job whose upstream is silent may be sent to another one: it may run again, the
      * upstream is probably not just busy, and the retry budget and an upstream allow it.
@@ -186,19 +215,16 @@
             return false;
         }
         ServiceState service = stateOf(job.service());
+        Duration longWait = service.waits(send.model()).value();
         boolean isGivenUp =
-                upstreams
-                        .state(send.upstream().incarnation())
+                stateOf(send)
                         .map(
                                 state ->
                                         answerBegun
                                                 ? SilenceRule.isStalled(
                                                         state, job.route(), silence, nowNanos)
                                                 : SilenceRule.isLost(
-                                                        state,
-                                                        send,
-                                                        service.waits(send.model()).value(),
-                                                        silence))
+                                                        state, send, longWait, silence))
                         .orElse(true);
         UpstreamRule rule = commonRule();
         return isGivenUp
@@ -209,35 +235,21 @@
 
     /** Records that response headers arrived, which shows that the prompt was processed. */
     public void onResponseHeaders(Send send, Optional<ReportedLoad> load, long nowNanos) {
-        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
-        ServiceState service = stateOf(send.upstream().service());
-        service.slowness().recordTimeToHeaders(elapsed, send, nowNanos);
-        service.waits(send.model()).record(elapsed.minus(Slowness.timeToProcess(send)));
-        upstreams
-                .state(send.upstream().incarnation())
-                .ifPresent(state -> state.onHeaders(send, load, nowNanos));
+        stateOf(send.upstream().service()).onHeaders(send, nowNanos);
+        stateOf(send).ifPresent(state -> state.onHeaders(send, load, nowNanos));
     }
 
     /** Records the mean gap so far between the events of a running stream, and the last event. */
     public void onStreamProgress(Send send, Duration gap, long lastEventNanos) {
-        upstreams
-                .state(send.upstream().incarnation())
-                .ifPresent(state -> state.onStreamProgress(send, lastEventNanos));
+        stateOf(send).ifPresent(state -> state.onStreamProgress(send, lastEventNanos));
         rollOuts.onStreamProgress(send, gap, upstreams.runningRequests(send.upstream()));
     }
 
     /** Records the end of a send; true if requests like it are refused from now on. */
     public boolean onSendEnd(Job job, String requestDigest, SendReport report, long nowNanos) {
         Send send = report.send();
-        upstreams
-                .state(send.upstream().incarnation())
-                .ifPresent(state -> state.onSendEnd(report, nowNanos));
-        if (report.outcome() == SendOutcome.SILENT && !report.headersReceived()) {
-            Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
-            stateOf(send.upstream().service())
-                    .waits(send.model())
-                    .recordGivenUp(elapsed.minus(Slowness.timeToProcess(send)));
-        }
+        stateOf(send).ifPresent(state -> state.onSendEnd(report, nowNanos));
+        stateOf(send.upstream().service()).onSendEnd(report, nowNanos);
         if (report.outcome().provedNotRun()) {
             job.onSendProvedNotRun();
         }
@@ -248,19 +260,7 @@
             upstreams.remove(send.upstream().id(), nowNanos);
         }
         rollOuts.onSendEnd(report, job, upstreams.runningRequests(send.upstream()), nowNanos);
-        return recordPoisonEvidence(job, requestDigest, report, nowNanos);
-    }
-
-    private boolean recordPoisonEvidence(
-            Job job, String requestDigest, SendReport report, long nowNanos) {
-        List<PromptPart> parts = job.request().parts();
-        if (report.provesHarmless(nowNanos)) {
-            poisonRegister.onAnswer(requestDigest, parts, nowNanos);
-            return false;
-        }
-        Incarnation upstream = report.send().upstream().incarnation();
-        return report.outcome() == SendOutcome.BROKEN
-                && poisonRegister.onCrash(requestDigest, parts, upstream, nowNanos);
+        return poisonRegister.onSendEnd(requestDigest, job.request().parts(), report, nowNanos);
     }
 
     private static Refused refusalOrOutcomeUnknown(Job job, RefusalCause cause) {
@@ -281,12 +281,16 @@
         if (!job.wasSentBefore()) {
             stateOf(job.service()).retryBudget().onFirstSend(nowNanos);
         }
-        job.onSend(send.upstream().incarnation());
+        job.onSend(send);
         state.onSend(send, job.request(), nowNanos);
         rollOuts.onSend(send, job, nowNanos);
         sendListener.accept(job, send);
     }
 
+    private Optional<UpstreamState> stateOf(Send send) {
+        return upstreams.state(send.upstream().incarnation());
+    }
+
     private ServiceState stateOf(String service) {
         return services.computeIfAbsent(service, key -> new ServiceState(limits));
     }
--- a/routing/src/main/java/org/wigeonferry/routing/SendOutcome.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SendOutcome.java
@@ -22,6 +22,8 @@
     SILENT(false, true),
     /** Dropped because the model reported too little confidence in its answer. */
     DOUBTED(false, false),
+    /** Cancelled because another send of the request was answered first. */
+    SUPERSEDED(false, false),
     /** Cancelled for a reason other than the upstream, such as a caller that disconnected. */
     ABANDONED(false, false);
 
--- a/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
@@ -26,9 +26,12 @@
     private final SlidingWindowRetryBudget retryBudget;
     private final Slowness slowness = new Slowness();
     private final Map<Optional<String>, WaitQuantile> waitsByModel = new HashMap<>();
+    private final Map<Optional<String>, HedgeWaits> hedgeWaitsByModel = new HashMap<>();
+    private final SlidingWindowCounter hedgedSends;
 
     ServiceState(RoutingLimits limits) {
         retryBudget = new SlidingWindowRetryBudget(limits);
+        hedgedSends = new SlidingWindowCounter(limits.retryWindow());
     }
 
     SlidingWindowRetryBudget retryBudget() {
@@ -39,13 +42,53 @@
         return slowness;
     }
 
+    /** Hedged sends within the window of the retry budget. */
+    SlidingWindowCounter hedgedSends() {
+        return hedgedSends;
+    }
+
+    /** Records that the response headers of a send arrived. */
+    void onHeaders(Send send, long nowNanos) {
+        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
+        Duration wait = elapsed.minus(Slowness.timeToProcess(send));
+        slowness.recordTimeToHeaders(elapsed, send, nowNanos);
+        waits(send.model()).record(wait);
+        hedgeWaits(send.model()).record(wait);
+    }
+
+    /**
+     * Records that a send ended. One that is given up without headers, or cancelled because another
+     * send was faster, has waited for at least the time until then: without these the estimates
+     * would fall to the waits of the sends that are answered before a hedged one is due.
+     */
+    void onSendEnd(SendReport report, long nowNanos) {
+        boolean stillWaited =
+                report.outcome() == SendOutcome.SILENT
+                        || report.outcome() == SendOutcome.SUPERSEDED;
+        if (report.headersReceived() || !stillWaited) {
+            return;
+        }
+        Send send = report.send();
+        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
+        Duration wait = elapsed.minus(Slowness.timeToProcess(send));
+        waits(send.model()).recordGivenUp(wait);
+        hedgeWaits(send.model()).recordGivenUp(wait);
+    }
+
     /**
      * Waits before the response headers of sends to a model; empty for a service without models.
      */
     WaitQuantile waits(Optional<String> model) {
-        return waitsByModel.computeIfAbsent(
-                model,
-                key -> new WaitQuantile(key.isPresent() ? INITIAL_WAIT_FOR_MODELS : INITIAL_WAIT));
+        return waitsByModel.computeIfAbsent(model, key -> new WaitQuantile(initialWait(key)));
+    }
+
+    /** Waits by which hedged sends to a model are timed. */
+    HedgeWaits hedgeWaits(Optional<String> model) {
+        return hedgeWaitsByModel.computeIfAbsent(model, key -> new HedgeWaits(initialWait(key)));
+    }
+
+    private static Duration initialWait(Optional<String> model) {
+        return model.isPresent() ? INITIAL_WAIT_FOR_MODELS : INITIAL_WAIT;
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/SlidingWindowRetryBudget.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SlidingWindowRetryBudget.java
@@ -27,6 +27,11 @@
         firstSends.add(nowNanos);
     }
 
+    /** First sends within the window. */
+    int firstSends(long nowNanos) {
+        return firstSends.count(nowNanos);
+    }
+
     /** Whether optional retries, which only improve or speed up an answer, are allowed. */
     boolean hasSpareRetries(long nowNanos, int routerCount) {
         return retries.count(nowNanos)
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamNotices.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamNotices.java
@@ -74,6 +74,13 @@
         };
     }
 
+    /** Whether an upstream has named a limit of requests, or asked for a pause that goes on. */
+    boolean isRestricted(UpstreamState upstream, LiveRouters routers, long nowNanos) {
+        Incarnation incarnation = upstream.instance().incarnation();
+        return notices.getOrDefault(incarnation, UpstreamNotice.NONE).rateLimit().isPresent()
+                || !pauseLeft(incarnation, routers.ownName(), nowNanos).isZero();
+    }
+
     /** Time until the first of some upstreams that want no requests now may be used, if any. */
     Optional<Duration> soonestReturn(
             Iterable<UpstreamState> upstreams, LiveRouters routers, long nowNanos) {
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -1,8 +1,6 @@
 package org.wigeonferry.routing;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -34,18 +32,6 @@
     /** Window of the count of sends that the limit for cold upstreams applies to. */
     static final Duration COLD_RATE_WINDOW = Duration.ofSeconds(1);
 
-    /** A send counts as overtaken by each resolved send that started more than this later. */
-    private static final Duration MIN_OVERTAKING_LAG = Duration.ofMillis(300);
-
-    /** A send that was overtaken this many times is probably lost. */
-    private static final int MIN_OVERTAKING_SENDS = 4;
-
-    /** Number of resolved sends whose start times are kept. */
-    private static final int MAX_RESOLVED_START_TIMES = 16;
-
-    /** Start times of sends that are resolved: response headers arrived, or the send has ended. */
-    private final Deque<Long> resolvedStartNanos = new ArrayDeque<>();
-
     private final int key;
     private UpstreamInstance instance;
     private long coldUntilNanos;
@@ -63,6 +49,7 @@
     private long heldTokens;
     private double failureShare;
     private int consecutiveSuspensions;
+    private final ResolvedSends resolvedSends = new ResolvedSends();
     private long suspendedUntilNanos;
     private Optional<ReportedLoad> lastLoad = Optional.empty();
     private long lastLoadNanos;
@@ -173,6 +160,16 @@
         return new OwnLoad(key, toInt(queuedTokens), runningSends, toInt(heldTokens));
     }
 
+    /** Records that a send which waits for its headers is hedged. */
+    void onHedged(long nowNanos) {
+        resolvedSends.onHedged(nowNanos);
+    }
+
+    /** How long sends have been hedged without an answer or a failure of the upstream. */
+    Duration timeHedged(long nowNanos) {
+        return resolvedSends.timeHedged(nowNanos);
+    }
+
     /** Moving average of failures, from 0 to 1. */
     double failureShare() {
         return failureShare;
@@ -212,21 +209,18 @@
 
     /** Whether no send that started later has been answered or has ended. */
     boolean noLaterSendIsResolved(Send send) {
-        return resolvedStartNanos.stream().noneMatch(t -> t - send.startNanos() > 0);
+        return resolvedSends.isNoneLaterThan(send);
     }
 
     /** Whether so many later sends are resolved that this one is probably not in a queue. */
     boolean isOvertaken(Send send) {
-        long overtakingSends =
-                resolvedStartNanos.stream()
-                        .filter(t -> t - send.startNanos() > MIN_OVERTAKING_LAG.toNanos())
-                        .count();
-        return overtakingSends >= MIN_OVERTAKING_SENDS;
+        return resolvedSends.isOvertaken(send);
     }
 
     /** Records that response headers of a send arrived. */
     void onHeaders(Send send, Optional<ReportedLoad> reportedLoad, long nowNanos) {
-        onResolved(send);
+        queuedTokens -= send.weightedUncachedTokens();
+        resolvedSends.onHeaders(send);
         possibleRestart.onAnswer(send.startNanos(), coldDuration, nowNanos);
         reportedLoad.ifPresent(value -> recordLoad(value, nowNanos));
     }
@@ -238,7 +232,8 @@
 
     void onSendEnd(SendReport report, long nowNanos) {
         if (!report.headersReceived()) {
-            onResolved(report.send());
+            queuedTokens -= report.send().weightedUncachedTokens();
+            resolvedSends.onEndWithoutHeaders(report);
         }
         runningSends--;
         heldTokens -= report.send().heldTokens();
@@ -260,15 +255,6 @@
         }
     }
 
-    /** Records that the headers of a send arrived, or that it ended without them. */
-    private void onResolved(Send send) {
-        queuedTokens -= send.weightedUncachedTokens();
-        resolvedStartNanos.addLast(send.startNanos());
-        if (resolvedStartNanos.size() > MAX_RESOLVED_START_TIMES) {
-            resolvedStartNanos.removeFirst();
-        }
-    }
-
     private void recordLoad(ReportedLoad value, long nowNanos) {
         lastLoad = Optional.of(value);
         lastLoadNanos = nowNanos;
--- a/routing/src/test/java/org/wigeonferry/routing/Fixtures.java
+++ b/routing/src/test/java/org/wigeonferry/routing/Fixtures.java
@@ -18,25 +18,38 @@
      * configured rate to cold upstreams. A new release gets a tenth of the requests, a session
      * lasts 5 s, and the grace period after an outage 2 s.
      */
-    static final RoutingLimits LIMITS =
-            new RoutingLimits(
-                    0.5,
-                    8,
-                    Duration.ofSeconds(10),
-                    1,
-                    0,
-                    0.1,
-                    2,
-                    Duration.ofSeconds(5),
-                    Duration.ofSeconds(2));
+    static final RoutingLimits LIMITS = limits(0);
 
     private Fixtures() {}
 
+    /**
+     * The same with hedged sends.
+     *
+     * @param hedgedSendShare hedged sends allowed for each first send
+     */
+    static RoutingLimits limits(double hedgedSendShare) {
+        return new RoutingLimits(
+                0.5,
+                8,
+                Duration.ofSeconds(10),
+                1,
+                0,
+                0.1,
+                2,
+                hedgedSendShare,
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(2));
+    }
+
     static RoutingState state(RoutingConfig config, long nowNanos) {
+        return state(config, LIMITS, nowNanos);
+    }
+
+    static RoutingState state(RoutingConfig config, RoutingLimits limits, long nowNanos) {
         RoutingState state =
                 new RoutingState(
                         ZONE,
-                        LIMITS,
+                        limits,
                         new Freshness(Duration.ofSeconds(4), Duration.ofMillis(400)),
                         new ModelCascade(50),
                         () -> 0.5,
