--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -1,10 +1,9 @@
 package org.wigeonferry.router;
 
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.PlacementResult;
@@ -20,9 +19,8 @@
  * Serves one request: sends it to an upstream, resends it where that is allowed (the request is
  * repeatable, or it is proved that it did not run), and responds to the caller.
  *
- * <p>Invariant: at most one send is in progress; callbacks of a send are ignored once it has been
- * superseded; the caller gets exactly one final response. No method of Jetty that may call back is
- * called while the monitor of this object is held. Thread safe.
+ * <p>Invariant: callbacks of a send are ignored once it has been superseded; the caller gets
+ * exactly one final response. Thread safe.
  */
 final class RoutedCall {
     private static final int GATEWAY_TIMEOUT = 504;
@@ -33,12 +31,10 @@
     private final CallerResponse callerResponse;
     private final CallLog log;
     private final SendRecorder recorder;
-    private final AtomicBoolean finished = new AtomicBoolean();
-    private Optional<RoutedSend> currentSend = Optional.empty();
-    private Optional<CompleteResponse> lastServerError = Optional.empty();
-    private Optional<String> lastEventId;
-    private boolean streaming;
-    private Runnable cancelDeadlineTimer = () -> {};
+    private final FinalResponse finalResponse;
+    private final CallSends sends;
+    private final HedgedSendPlanner hedgedSends;
+    private volatile Runnable cancelDeadlineTimer = () -> {};
 
     RoutedCall(CallContext context, Job job, CallerRequest caller, CallerResponse callerResponse) {
         this.context = context;
@@ -47,7 +43,11 @@
         this.callerResponse = callerResponse;
         log = new CallLog(context.metrics(), job, context.control().nanoTime());
         recorder = new SendRecorder(context, job, caller.requestDigest(), log);
-        lastEventId = job.request().resumeAfter();
+        finalResponse = new FinalResponse(callerResponse, context.refusals(), log);
+        sends = new CallSends(job.request().resumeAfter());
+        hedgedSends =
+                new HedgedSendPlanner(
+                        context, job, caller.requestDigest(), sends, log, this::startHedge);
     }
 
     /** Starts the deadline timer and the first send. Called on the control thread. */
@@ -68,26 +68,55 @@
     }
 
     /** Whether events have been sent to the caller. */
-    synchronized boolean isStreaming() {
-        return streaming;
+    boolean isStreaming() {
+        return sends.isStreaming();
     }
 
     /** Forwards complete events of a stream to the caller; ignores those of a superseded send. */
     void forwardEvents(
             RoutedSend routedSend, ResponseHead head, EventScanner scanner, ByteBuffer events) {
-        synchronized (this) {
-            if (finished.get() || !isCurrent(routedSend)) {
-                return;
-            }
-            if (!streaming) {
-                streaming = true;
-                log.recordTimeToFirstEvent();
-                callerResponse.startStream(head.status(), head.forwardedFields());
-            }
-            lastEventId = scanner.lastId().or(() -> lastEventId);
-            callerResponse.bufferEvents(events);
+        Optional<Claim> claim =
+                sends.tryBufferEvents(
+                        routedSend,
+                        scanner.lastId(),
+                        events,
+                        callerResponse,
+                        () -> startStream(head));
+        if (claim.isPresent()) {
+            settle(claim.get());
+            callerResponse.flush();
         }
-        callerResponse.flush();
+    }
+
+    private void startStream(ResponseHead head) {
+        log.recordTimeToFirstEvent();
+        callerResponse.startStream(head.status(), head.forwardedFields());
+    }
+
+    /**
+     * Makes a send whose answer has low confidence the one that decides how the call goes on; false
+     * if another one does already.
+     */
+    boolean tryDropAnswer(RoutedSend routedSend) {
+        Optional<Claim> claim = sends.tryClaim(routedSend);
+        claim.ifPresent(RoutedCall::cancelSuperseded);
+        return claim.isPresent();
+    }
+
+    /** Decides whether a send that waits for its response is hedged; on the control thread. */
+    void considerHedging(RoutedSend routedSend) {
+        hedgedSends.consider(routedSend);
+    }
+
+    private void settle(Claim claim) {
+        cancelSuperseded(claim);
+        if (claim.hedgeWon()) {
+            log.recordHedgeWon();
+        }
+    }
+
+    private static void cancelSuperseded(Claim claim) {
+        claim.superseded().forEach(other -> other.cancel(SendOutcome.SUPERSEDED));
     }
 
     /** Records what an upstream says of itself. */
@@ -98,6 +127,9 @@
     /** Records the end of a send; then responds to the caller, or resends where that is allowed. */
     void onSendEnded(
             RoutedSend routedSend, SendReport report, Optional<CompleteResponse> response) {
+        if (report.outcome() == SendOutcome.ANSWERED) {
+            sends.tryClaim(routedSend).ifPresent(this::settle);
+        }
         log.logSendEnded(
                 report,
                 routedSend.responseHead(),
@@ -112,23 +144,13 @@
 
     private void resendOrFinish(
             RoutedSend routedSend, SendReport report, Optional<CompleteResponse> response) {
-        boolean answered;
-        synchronized (this) {
-            if (finished.get() || !isCurrent(routedSend)) {
-                return;
-            }
-            currentSend = Optional.empty();
-            // After the first events only the rest of the stream answers the request.
-            boolean restOfStream = response.isEmpty();
-            answered = report.outcome() == SendOutcome.ANSWERED && (restOfStream || !streaming);
-            if (answered) {
-                finish();
-            } else {
-                response.ifPresent(serverError -> lastServerError = response);
-            }
+        NextStep next = sends.onEnded(routedSend, report.outcome(), response);
+        if (next == NextStep.NONE) {
+            return;
         }
-        if (answered) {
-            sendResponse(response);
+        if (next == NextStep.RESPOND) {
+            releaseResources();
+            finalResponse.send(response);
             return;
         }
         if (job.route().kind().isRepeatable() || report.outcome().provedNotRun()) {
@@ -138,20 +160,8 @@
         giveUp(new Refused(RefusalCause.OUTCOME_UNKNOWN));
     }
 
-    private void sendResponse(Optional<CompleteResponse> response) {
-        if (response.isPresent()) {
-            CompleteResponse complete = response.get();
-            log.logAnswered(complete.head().status());
-            callerResponse.sendComplete(
-                    complete.head().status(), complete.head().forwardedFields(), complete.body());
-            return;
-        }
-        log.logStreamAnswered(callerResponse.streamFraming());
-        callerResponse.endStream();
-    }
-
     private void selectUpstream() {
-        if (finished.get()) {
+        if (!sends.needsSend()) {
             return;
         }
         long now = context.control().nanoTime();
@@ -169,18 +179,40 @@
 
     private void startSend(Send send) {
         RoutedSend routedSend = new RoutedSend(context, this, send);
-        synchronized (this) {
-            if (finished.get()) {
-                recorder.recordEnd(routedSend.toReport(SendOutcome.NOT_SENT), () -> {});
-                return;
-            }
-            currentSend = Optional.of(routedSend);
+        if (!sends.tryOpen(routedSend)) {
+            recorder.recordEnd(routedSend.toReport(SendOutcome.NOT_SENT), () -> {});
+            return;
         }
+        run(routedSend);
+    }
+
+    /** Starts a second send beside one that waits. Called on the control thread. */
+    private void startHedge(RoutedSend first, Send send) {
+        log.logHedged(first.send(), send);
+        RoutedSend hedge = new RoutedSend(context, this, send);
+        boolean opened = sends.tryOpenHedge(hedge);
+        context.trafficExecutor()
+                .execute(
+                        () -> {
+                            if (opened) {
+                                run(hedge);
+                            } else {
+                                hedge.cancel(SendOutcome.SUPERSEDED);
+                            }
+                        });
+    }
+
+    private void run(RoutedSend routedSend) {
+        Send send = routedSend.send();
         log.logPlaced(send);
         HttpFields fields =
                 context.protocol()
                         .upstreamHeadersEncoder()
-                        .encode(caller.fields(), send, send.timeLeft(), lastEventIdIfStreaming());
+                        .encode(
+                                caller.fields(),
+                                send,
+                                send.timeLeft(),
+                                sends.lastEventIdIfStreaming());
         routedSend.start(
                 new UpstreamRequest(
                         send.upstream().address(),
@@ -190,31 +222,17 @@
                         caller.body()));
     }
 
-    private synchronized Optional<String> lastEventIdIfStreaming() {
-        return streaming ? lastEventId : Optional.empty();
-    }
-
     private void giveUp(Refused refused) {
-        RefusalCause cause = refused.cause();
-        boolean streamStarted;
-        Optional<CompleteResponse> serverError;
-        synchronized (this) {
-            if (!finish()) {
-                return;
-            }
-            streamStarted = streaming;
-            serverError = lastServerError;
-        }
-        if (streamStarted) {
-            abortStream(cause);
+        Optional<CallEnd> end = finish();
+        if (end.isEmpty()) {
             return;
         }
-        if (serverError.isPresent()) {
-            sendResponse(serverError);
+        Optional<CompleteResponse> serverError = end.get().lastServerError();
+        if (serverError.isPresent() && !end.get().streaming()) {
+            finalResponse.send(serverError);
             return;
         }
-        log.logRefused(cause);
-        context.refusals().sendRefusal(callerResponse, refused);
+        finalResponse.refuse(refused, end.get().streaming());
     }
 
     private void onDeadline() {
@@ -242,55 +260,37 @@
             RefusalCause causeWithoutSend,
             RefusalCause causeWithOpenSend,
             SendOutcome openSendOutcome) {
-        Optional<RoutedSend> openSend;
-        boolean streamStarted;
-        synchronized (this) {
-            if (!finish()) {
-                return;
-            }
-            openSend = currentSend;
-            streamStarted = streaming;
-        }
-        RefusalCause cause = openSend.isPresent() ? causeWithOpenSend : causeWithoutSend;
-        openSend.ifPresent(routedSend -> routedSend.cancel(openSendOutcome));
-        if (streamStarted) {
-            abortStream(cause);
+        Optional<CallEnd> end = finish();
+        if (end.isEmpty()) {
             return;
         }
-        log.logRefused(cause);
-        context.refusals().sendRefusal(callerResponse, new Refused(cause));
-    }
-
-    private void abortStream(RefusalCause cause) {
-        log.logStreamAborted(cause, callerResponse.streamFraming());
-        callerResponse.abort(new IOException("stream aborted: " + cause));
+        List<RoutedSend> openSends = end.get().openSends();
+        RefusalCause cause = openSends.isEmpty() ? causeWithoutSend : causeWithOpenSend;
+        openSends.forEach(routedSend -> routedSend.cancel(openSendOutcome));
+        finalResponse.refuse(new Refused(cause), end.get().streaming());
     }
 
     private void onCallerDisconnected() {
-        Optional<RoutedSend> openSend;
-        synchronized (this) {
-            if (!finish()) {
-                return;
-            }
-            openSend = currentSend;
+        Optional<CallEnd> end = finish();
+        if (end.isEmpty()) {
+            return;
         }
-        openSend.ifPresent(routedSend -> routedSend.cancel(SendOutcome.ABANDONED));
-        log.logCallerDisconnected();
-        callerResponse.abort(new IOException("caller disconnected"));
+        end.get().openSends().forEach(routedSend -> routedSend.cancel(SendOutcome.ABANDONED));
+        finalResponse.abandon();
     }
 
-    private boolean isCurrent(RoutedSend routedSend) {
-        return currentSend.isPresent() && currentSend.get() == routedSend;
+    private Optional<CallEnd> finish() {
+        Optional<CallEnd> end = sends.finish();
+        if (end.isPresent()) {
+            releaseResources();
+        }
+        return end;
     }
 
-    private boolean finish() {
-        if (!finished.compareAndSet(false, true)) {
-            return false;
-        }
+    private void releaseResources() {
         cancelDeadlineTimer.run();
         caller.clearDisconnectAction();
         context.inFlight().remove(this);
         context.waitingCalls().leave(job);
-        return true;
     }
 }
--- a/router/src/test/java/org/wigeonferry/router/PressureFleet.java
+++ b/router/src/test/java/org/wigeonferry/router/PressureFleet.java
@@ -225,6 +225,7 @@
                                 0,
                                 0.1,
                                 2,
+                                0,
                                 Duration.ofSeconds(5),
                                 Duration.ofSeconds(2)),
                         new Freshness(Duration.ofMinutes(5), Duration.ofSeconds(5)),
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -46,8 +46,17 @@
      * @param setUp changes the routing state before the router starts
      */
     RouterHarness(List<ScriptedUpstream> upstreams, Consumer<RoutingState> setUp) throws Exception {
+        this(upstreams, RoutingStates.empty(), setUp);
+    }
+
+    RouterHarness(List<ScriptedUpstream> upstreams, RoutingState state) throws Exception {
+        this(upstreams, state, unchanged -> {});
+    }
+
+    private RouterHarness(
+            List<ScriptedUpstream> upstreams, RoutingState state, Consumer<RoutingState> setUp)
+            throws Exception {
         sender = new JettySender(Duration.ofMillis(500));
-        RoutingState state = RoutingStates.empty();
         setUp.accept(state);
         router =
                 new RouterControl(
@@ -114,6 +123,11 @@
         return (Long) metrics.registry().getGauges().get("response_bytes_reserved").getValue();
     }
 
+    /** Value of a counter of the service; 0 if nothing was counted. */
+    long count(String name) {
+        return metrics.registry().counter(name + "|service|service").getCount();
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(8000);
@@ -181,9 +195,27 @@
                 .addRoute(route("unsafe", RequestKind.UNSAFE))
                 .addRoute(route("stream", RequestKind.RESUMABLE_STREAM))
                 .addRoute(route("other", "//", RequestKind.SAFE))
+                .addRoute(modelRoute())
                 .build();
     }
 
+    /** A route with two models and an objective that leaves time for hedged sends. */
+    private static Route modelRoute() {
+        return new Route(
+                "models",
+                "example",
+                "/models/",
+                RequestKind.RESUMABLE_STREAM,
+                Duration.ofSeconds(8),
+                Duration.ofSeconds(4),
+                Duration.ofMillis(400),
+                3,
+                0,
+                true,
+                List.of("small", "large"),
+                List.of(new WeightedService("service", 1)));
+    }
+
     private static Route route(String name, RequestKind kind) {
         return route(name, "/" + name + "/", kind);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
+++ b/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
@@ -29,8 +29,12 @@
         this.rooms = rooms;
     }
 
-    /** Limits what is placed on upstreams, and queues what finds no room. */
+    /**
+     * Limits what is placed on upstreams, and queues what finds no room. Upstreams are chosen by
+     * predicted time from now on, as admission depends on it.
+     */
     public void enable(QueueLimits limits) {
+        selector.predictAllTimes();
         waitingJobs = Optional.of(new WaitingJobs(limits, job -> evictionListener.accept(job)));
     }
 
@@ -99,6 +103,17 @@
                 .orElse(0.0);
     }
 
+    /** Whether jobs wait for the upstreams of a service. */
+    boolean hasWaitingJobs(String service) {
+        return waitingJobs.filter(waiting -> waiting.hasWaitingJobs(service)).isPresent();
+    }
+
+    /** Allows only upstreams with room for a job; any if room is not limited. */
+    UpstreamRule roomRule() {
+        return (upstream, job, nowNanos) ->
+                waitingJobs.isEmpty() || rooms.hasRoom(upstream, job, nowNanos);
+    }
+
     boolean isWaiting(Job job) {
         return waitingJobs.filter(waiting -> waiting.contains(job)).isPresent();
     }
--- a/routing/src/main/java/org/wigeonferry/routing/Refused.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Refused.java
@@ -12,6 +12,11 @@
  */
 public record Refused(RefusalCause cause, Optional<Duration> retryAfter)
         implements AdmissionResult, PlacementResult {
+    /** A refusal of a job; the outcome is unknown if an upstream may have run it. */
+    static Refused of(Job job, RefusalCause cause) {
+        return new Refused(job.possibleRuns() > 0 ? RefusalCause.OUTCOME_UNKNOWN : cause);
+    }
+
     /** A refusal with the usual time after which the caller should try again. */
     public Refused(RefusalCause cause) {
         this(cause, Optional.empty());
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -7,7 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import org.wigeonferry.routing.hedging.HedgingRule;
 import org.wigeonferry.routing.prediction.StartEstimate;
 
 /**
@@ -26,10 +28,11 @@
     private final UpstreamDirectory upstreams;
     private final RollOutTracker rollOuts;
     private final PeerLoads peerLoads = new PeerLoads();
-    private final ReceivedLoads receivedLoads = new ReceivedLoads();
     private final ModelChoice modelChoice;
     private final LoadAdmission loadAdmission;
+    private final SendEvents sendEvents;
     private final PlacementRules placementRules;
+    private final HedgedPlacement hedgedPlacement;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final PoisonRegister poisonRegister = new PoisonRegister();
     private BiConsumer<Job, Send> sendListener = (job, send) -> {};
@@ -62,6 +65,16 @@
         modelChoice = new ModelChoice(modelSelector, selector, this::rulesFor);
         loadAdmission =
                 new LoadAdmission(upstreams, selector, new RoomRules(zone, peerLoads, routers));
+        loadAdmission.setStartEstimate(startEstimate());
+        hedgedPlacement =
+                new HedgedPlacement(
+                        new HedgingRule(limits.hedgedSendShare()),
+                        upstreams,
+                        selector,
+                        rollOuts,
+                        loadAdmission::hasWaitingJobs);
+        sendEvents =
+                new SendEvents(upstreams, rollOuts, poisonRegister, loadAdmission, this::stateOf);
     }
 
     /** When the configuration was last confirmed, and whether it is still up to date. */
@@ -88,7 +101,7 @@
 
     /** The loads that upstreams reported and that the zone's other routers are to be told. */
     public ReceivedLoads receivedLoads() {
-        return receivedLoads;
+        return sendEvents.receivedLoads();
     }
 
     /** The limits of what is placed on upstreams, and the jobs that wait. */
@@ -146,10 +159,10 @@
     /** Chooses an upstream for a job and records the send, or refuses it or lets it wait. */
     public PlacementResult routeJob(Job job, String requestDigest, long nowNanos, long wallMillis) {
         if (!admission.isKeyStillValid(config, job, nowNanos, wallMillis)) {
-            return refusalOrOutcomeUnknown(job, RefusalCause.STALE_CONFIGURATION);
+            return Refused.of(job, RefusalCause.STALE_CONFIGURATION);
         }
         if (loadAdmission.isWaiting(job) && !RequestAdmission.isRouteInForce(config, job)) {
-            return refusalOrOutcomeUnknown(job, RefusalCause.UNKNOWN_ROUTE);
+            return Refused.of(job, RefusalCause.UNKNOWN_ROUTE);
         }
         if (job.deadlineNanos() - nowNanos < MIN_TIME_LEFT.toNanos()) {
             return new Refused(
@@ -157,10 +170,10 @@
         }
         List<PromptPart> parts = job.request().parts();
         if (poisonRegister.isRefused(requestDigest, parts, routers, nowNanos)) {
-            return refusalOrOutcomeUnknown(job, RefusalCause.POISON);
+            return Refused.of(job, RefusalCause.POISON);
         }
         if (!job.mayRunAgain()) {
-            return refusalOrOutcomeUnknown(job, RefusalCause.NOT_RUN);
+            return Refused.of(job, RefusalCause.NOT_RUN);
         }
         ModelSelection selection = selectModel(job, nowNanos);
         UpstreamChoice choice =
@@ -175,11 +188,11 @@
                 && !stateOf(job.service())
                         .retryBudget()
                         .tryAcquireRetry(nowNanos, routers.assumedCount())) {
-            return refusalOrOutcomeUnknown(job, RefusalCause.OVERLOADED);
+            return Refused.of(job, RefusalCause.OVERLOADED);
         }
         SelectedUpstream upstream = choice.upstream().get();
         Send send = UpstreamSelector.newSend(upstream, job, selection, nowNanos);
-        recordSend(send, upstream.state(), job, nowNanos);
+        recordSend(send, job, nowNanos);
         return send;
     }
 
@@ -189,6 +202,31 @@
                 modelChoice.start(job, selectModel(job, nowNanos).model(), nowNanos);
     }
 
+    /**
+     * Decides whether a job whose first send is not answered yet is sent to a second upstream too;
+     * chooses the upstream and records the send.
+     */
+    public HedgePlan planHedgedSend(
+            Job job, Send first, String requestDigest, long nowNanos, long wallMillis) {
+        BooleanSupplier isAllowed =
+                () ->
+                        admission.isKeyStillValid(config, job, nowNanos, wallMillis)
+                                && !poisonRegister.isSuspected(
+                                        requestDigest, job.request().parts());
+        ServiceState service = stateOf(job.service());
+        HedgePlan plan =
+                hedgedPlacement.plan(
+                        job,
+                        first,
+                        service,
+                        commonRule().and(loadAdmission.roomRule()),
+                        isAllowed,
+                        routers,
+                        nowNanos);
+        plan.send().ifPresent(send -> recordSend(send, job, nowNanos));
+        return plan;
+    }
+
     /**
      * Whether a job whose upstream is silent may be sent to another one: it may run again, the
      * upstream is probably not just busy, and the retry budget and an upstream allow it.
@@ -200,76 +238,30 @@
         if (!job.route().kind().isRepeatable() || job.possibleRuns() >= job.route().maxRuns()) {
             return false;
         }
-        ServiceState service = stateOf(job.service());
-        Duration usualWait = service.waits(send.model()).value();
-        boolean isGivenUp =
-                upstreams
-                        .state(send.upstream().incarnation())
-                        .filter(
-                                state ->
-                                        answerBegun
-                                                ? !SilenceRule.isStalled(
-                                                        state, job.route(), silence, nowNanos)
-                                                : !service.isLost(state, send, silence))
-                        .isEmpty();
         UpstreamRule rule = commonRule();
-        return isGivenUp
-                && service.retryBudget().hasSpareRetries(nowNanos, routers.assumedCount())
+        return sendEvents.isGivenUp(job, send, answerBegun, silence, nowNanos)
+                && stateOf(job.service()).hasSpareRetries(nowNanos, routers.assumedCount())
                 && upstreams.upstreamStates().stream()
                         .anyMatch(s -> !s.isSuspended(nowNanos) && rule.allows(s, job, nowNanos));
     }
 
     /** Records that response headers arrived, which shows that the prompt was processed. */
     public void onResponseHeaders(Send send, Optional<ReportedLoad> load, long nowNanos) {
-        stateOf(send.upstream().service()).onHeaders(send, nowNanos);
-        upstreams
-                .state(send.upstream().incarnation())
-                .ifPresent(
-                        state -> {
-                            load.ifPresent(l -> receivedLoads.record(state, l, nowNanos));
-                            state.onHeaders(send, load, nowNanos);
-                        });
+        sendEvents.onResponseHeaders(send, load, nowNanos);
     }
 
     /** Records the mean gap so far between the events of a running stream, and the last event. */
     public void onStreamProgress(Send send, Duration gap, long lastEventNanos) {
-        upstreams
-                .state(send.upstream().incarnation())
-                .ifPresent(state -> state.onStreamProgress(send, lastEventNanos));
-        rollOuts.onStreamProgress(send, gap, upstreams.runningRequests(send.upstream()));
+        sendEvents.onStreamProgress(send, gap, lastEventNanos);
     }
 
     /** Records the end of a send; true if requests like it are refused from now on. */
     public boolean onSendEnd(Job job, String requestDigest, SendReport report, long nowNanos) {
-        Send send = report.send();
-        upstreams
-                .state(send.upstream().incarnation())
-                .ifPresent(state -> state.onSendEnd(report, nowNanos));
-        if (report.outcome() == SendOutcome.SILENT && !report.headersReceived()) {
-            stateOf(send.upstream().service()).onGivenUp(send, nowNanos);
-        }
-        if (report.outcome().provedNotRun()) {
-            job.onSendProvedNotRun();
-        }
-        if (report.outcome() == SendOutcome.DOUBTED) {
-            job.onLowConfidenceAnswer(send.upstream().incarnation());
-        }
-        if (report.outcome() == SendOutcome.MISDIRECTED) {
-            upstreams.remove(send.upstream().id(), nowNanos);
-        }
-        rollOuts.onSendEnd(report, job, upstreams.runningRequests(send.upstream()), nowNanos);
-        boolean newPoison =
-                poisonRegister.onSendEnd(requestDigest, job.request().parts(), report, nowNanos);
-        loadAdmission.onSendEnd(job, report, nowNanos);
-        return newPoison;
-    }
-
-    private static Refused refusalOrOutcomeUnknown(Job job, RefusalCause cause) {
-        return new Refused(job.possibleRuns() > 0 ? RefusalCause.OUTCOME_UNKNOWN : cause);
+        return sendEvents.onSendEnd(job, requestDigest, report, nowNanos);
     }
 
     private Refused noUpstream(Job job, long nowNanos) {
-        Refused refused = refusalOrOutcomeUnknown(job, RefusalCause.NO_UPSTREAM);
+        Refused refused = Refused.of(job, RefusalCause.NO_UPSTREAM);
         return new Refused(
                 refused.cause(), upstreams.soonestReturn(job.service(), routers, nowNanos));
     }
@@ -289,14 +281,12 @@
         return placementRules.all(config, routers);
     }
 
-    private void recordSend(Send send, UpstreamState state, Job job, long nowNanos) {
+    private void recordSend(Send send, Job job, long nowNanos) {
         if (!job.wasSentBefore()) {
             stateOf(job.service()).retryBudget().onFirstSend(nowNanos);
         }
-        job.onSend(send.upstream().incarnation());
-        state.onSend(send, job.request(), nowNanos);
-        rollOuts.onSend(send, job, nowNanos);
-        loadAdmission.onSend(job, send, nowNanos);
+        job.onSend(send);
+        sendEvents.onSend(send, job, nowNanos);
         sendListener.accept(job, send);
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ServiceState.java
@@ -26,22 +26,12 @@
     private final SlidingWindowRetryBudget retryBudget;
     private final Slowness slowness = new Slowness();
     private final Map<Optional<String>, WaitQuantile> waitsByModel = new HashMap<>();
+    private final Map<Optional<String>, HedgeWaits> hedgeWaitsByModel = new HashMap<>();
+    private final SlidingWindowCounter hedgedSends;
 
     ServiceState(RoutingLimits limits) {
         retryBudget = new SlidingWindowRetryBudget(limits);
-    }
-
-    /** Records that the response headers of a send arrived. */
-    void onHeaders(Send send, long nowNanos) {
-        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
-        slowness.recordTimeToHeaders(elapsed, send, nowNanos);
-        waits(send.model()).record(elapsed.minus(Slowness.timeToProcess(send)));
-    }
-
-    /** Records that a send was given up before its response headers arrived. */
-    void onGivenUp(Send send, long nowNanos) {
-        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
-        waits(send.model()).recordGivenUp(elapsed.minus(Slowness.timeToProcess(send)));
+        hedgedSends = new SlidingWindowCounter(limits.retryWindow());
     }
 
     /** Whether a send that has waited for so long for its response headers is probably lost. */
@@ -57,13 +47,53 @@
         return slowness;
     }
 
+    /** Hedged sends within the window of the retry budget. */
+    SlidingWindowCounter hedgedSends() {
+        return hedgedSends;
+    }
+
+    /** Records that the response headers of a send arrived. */
+    void onHeaders(Send send, long nowNanos) {
+        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
+        Duration wait = elapsed.minus(Slowness.timeToProcess(send));
+        slowness.recordTimeToHeaders(elapsed, send, nowNanos);
+        waits(send.model()).record(wait);
+        hedgeWaits(send.model()).record(wait);
+    }
+
+    /**
+     * Records that a send ended. One that is given up without headers, or cancelled because another
+     * send was faster, has waited for at least the time until then: without these the estimates
+     * would fall to the waits of the sends that are answered before a hedged one is due.
+     */
+    void onSendEnd(SendReport report, long nowNanos) {
+        boolean stillWaited =
+                report.outcome() == SendOutcome.SILENT
+                        || report.outcome() == SendOutcome.SUPERSEDED;
+        if (report.headersReceived() || !stillWaited) {
+            return;
+        }
+        Send send = report.send();
+        Duration elapsed = Duration.ofNanos(nowNanos - send.startNanos());
+        Duration wait = elapsed.minus(Slowness.timeToProcess(send));
+        waits(send.model()).recordGivenUp(wait);
+        hedgeWaits(send.model()).recordGivenUp(wait);
+    }
+
     /**
      * Waits before the response headers of sends to a model; empty for a service without models.
      */
     WaitQuantile waits(Optional<String> model) {
-        return waitsByModel.computeIfAbsent(
-                model,
-                key -> new WaitQuantile(key.isPresent() ? INITIAL_WAIT_FOR_MODELS : INITIAL_WAIT));
+        return waitsByModel.computeIfAbsent(model, key -> new WaitQuantile(initialWait(key)));
+    }
+
+    /** Waits by which hedged sends to a model are timed. */
+    HedgeWaits hedgeWaits(Optional<String> model) {
+        return hedgeWaitsByModel.computeIfAbsent(model, key -> new HedgeWaits(initialWait(key)));
+    }
+
+    private static Duration initialWait(Optional<String> model) {
+        return model.isPresent() ? INITIAL_WAIT_FOR_MODELS : INITIAL_WAIT;
     }
 
     /** Whether retries that only improve an answer are allowed. */
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
@@ -48,6 +48,7 @@
     private final UpstreamDirectory directory;
     private final PeerLoads peerLoads;
     private final PredictedTimeSelector byPredictedTime;
+    private boolean predictsAllTimes;
 
     UpstreamSelector(String zone, UpstreamDirectory directory, PeerLoads peerLoads) {
         this.zone = zone;
@@ -70,9 +71,14 @@
                                         byPredictedTime.predict(state, job, model, nowNanos)));
     }
 
+    /** Chooses all upstreams by predicted time, also those that report no pace. */
+    void predictAllTimes() {
+        predictsAllTimes = true;
+    }
+
     /** Whether upstreams of a service are chosen by predicted time. */
     boolean predictsTimes(String service, long nowNanos) {
-        return directory.serviceSpeed(service).reportsPace(nowNanos);
+        return predictsAllTimes || directory.serviceSpeed(service).reportsPace(nowNanos);
     }
 
     /** The shortest predicted time to the first byte over the upstreams that the rule allows. */
--- a/routing/src/main/java/org/wigeonferry/routing/WaitingJobs.java
+++ b/routing/src/main/java/org/wigeonferry/routing/WaitingJobs.java
@@ -63,9 +63,12 @@
 
     /** Whether a job comes after others that wait for the upstreams of its service. */
     boolean isBehindOthers(Job job) {
-        return !contains(job)
-                && !evicted.containsKey(job)
-                && queueOf(job.service()).queue().size() > 0;
+        return !contains(job) && !evicted.containsKey(job) && hasWaitingJobs(job.service());
+    }
+
+    /** Whether jobs wait for the upstreams of a service. */
+    boolean hasWaitingJobs(String service) {
+        return queueOf(service).queue().size() > 0;
     }
 
     /**
