--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -39,7 +39,8 @@
 
     /**
      * Weighted prompt tokens of a send that is reported at once, so that no other router sends a
-     * prompt to the same upstream in the meantime.
+     * prompt to the same upstream in the meantime; where routers divide the room at upstreams, also
+     * the tokens that a send takes there.
      */
     private static final int LARGE_SEND_TOKENS = 500;
 
@@ -116,7 +117,9 @@
         if (!parts.isEmpty() && sentPrompts.size() < MAX_PROMPTS_PER_REPORT) {
             send.model().ifPresent(model -> sentPrompts.add(SentPrompt.of(send, model, parts)));
         }
-        if (send.weightedUncachedTokens() >= LARGE_SEND_TOKENS) {
+        boolean takesRoom =
+                state.loadAdmission().isEnabled() && send.heldTokens() >= LARGE_SEND_TOKENS;
+        if (takesRoom || send.weightedUncachedTokens() >= LARGE_SEND_TOKENS) {
             scheduleReport(Duration.ZERO);
         }
     }
--- a/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
+++ b/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
@@ -104,14 +104,16 @@
     }
 
     /** Whether jobs wait for the upstreams of a service. */
-    boolean hasWaitingJobs(String service) {
-        return waitingJobs.filter(waiting -> waiting.hasWaitingJobs(service)).isPresent();
+    public boolean hasWaiting(String service) {
+        return waitingJobs
+                .filter(waiting -> waiting.queueOf(service).queue().size() > 0)
+                .isPresent();
     }
 
-    /** Allows only upstreams with room for a job; any if room is not limited. */
-    UpstreamRule roomRule() {
-        return (upstream, job, nowNanos) ->
-                waitingJobs.isEmpty() || rooms.hasRoom(upstream, job, nowNanos);
+    /** Whether a job could be sent to an upstream now without taking the room of others. */
+    boolean hasSpareRoom(UpstreamState upstream, Job job, long nowNanos) {
+        return !isEnabled()
+                || (!hasWaiting(job.service()) && rooms.hasRoom(upstream, job, nowNanos));
     }
 
     boolean isWaiting(Job job) {
@@ -150,9 +152,7 @@
 
     /** Lets a job wait for which {@link #choose} found no room, or refuses it. */
     PlacementResult waitOrRefuse(Job job, long nowNanos) {
-        return waitingJobs
-                .orElseThrow()
-                .waitOrRefuse(job, startEstimate.timeToFirstByte(job, nowNanos), nowNanos);
+        return waitingJobs.orElseThrow().waitOrRefuse(job, startEstimate, nowNanos);
     }
 
     void onSend(Job job, Send send, long nowNanos) {
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -72,7 +72,7 @@
                         upstreams,
                         selector,
                         rollOuts,
-                        loadAdmission::hasWaitingJobs);
+                        loadAdmission::hasWaiting);
         sendEvents =
                 new SendEvents(upstreams, rollOuts, poisonRegister, loadAdmission, this::stateOf);
     }
@@ -219,7 +219,7 @@
                         job,
                         first,
                         service,
-                        commonRule().and(loadAdmission.roomRule()),
+                        commonRule().and(loadAdmission::hasSpareRoom),
                         isAllowed,
                         routers,
                         nowNanos);
@@ -238,7 +238,7 @@
         if (!job.route().kind().isRepeatable() || job.possibleRuns() >= job.route().maxRuns()) {
             return false;
         }
-        UpstreamRule rule = commonRule();
+        UpstreamRule rule = commonRule().and(loadAdmission::hasSpareRoom);
         return sendEvents.isGivenUp(job, send, answerBegun, silence, nowNanos)
                 && stateOf(job.service()).hasSpareRetries(nowNanos, routers.assumedCount())
                 && upstreams.upstreamStates().stream()
