Send heads of many short fields on to upstreams

A request with a head of 16 KiB made of 4,000 short fields, within the limits for callers, was answered 502: on the way to the upstream each field has a blank more, and the client's limit is smaller than the server's. The client now sends heads of up to 64 KiB, twice what a caller may send. Seen in ManyShortFieldsTest.headOfManyFieldsIsServedInCalm, which failed before (502) and holds now.

--- a/router/src/main/java/org/wigeonferry/router/JettySender.java
+++ b/router/src/main/java/org/wigeonferry/router/JettySender.java
@@ -23,6 +23,9 @@
  * the request may have been written. Thread safe.
  */
 public final class JettySender implements UpstreamSender, AutoCloseable {
+    /** Twice what a caller may send: short fields take more room on the way to an upstream. */
+    private static final int MAX_REQUEST_HEADER_BYTES = 64 << 10;
+
     private static final int MAX_RESPONSE_HEADER_BYTES = 32 << 10;
 
     private final HttpClient client;
@@ -32,6 +35,7 @@
         client = HttpClients.startHttp1("upstreams", connectTimeout);
         client.setIdleTimeout(0);
         client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
+        client.setMaxRequestHeadersSize(MAX_REQUEST_HEADER_BYTES);
     }
 
     @Override
