Limit what abusive and slow callers hold of a process

Cause: nothing bounded the memory of incomplete heads and bodies, of responses that callers do not read, or the number of connections; a chunk or field of a few bytes kept some hundred. Change: the package node_runtime.ingress. All ports of a process share limits on connections, bytes held by requests, header fields, pipelined requests and, once a limit is half used, least rates of sending and reading. At a limit the slowest connection gives way; if all make progress, the newcomer is refused, as not run. A router keeps the reservation of a response until its caller has read it, and drops the body of a send that has ended, which timers kept for its timeout.

--- a/agent/src/main/java/org/wigeonferry/agent/Agent.java
+++ b/agent/src/main/java/org/wigeonferry/agent/Agent.java
@@ -26,6 +26,8 @@
 import org.wigeonferry.node_runtime.NodeKeys;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.node_runtime.PeerEndpoint;
+import org.wigeonferry.node_runtime.ingress.Ingress;
+import org.wigeonferry.node_runtime.ingress.IngressKeys;
 import org.wigeonferry.platform_clients.HttpTableClient;
 import org.wigeonferry.platform_clients.JsonHttpClient;
 import org.wigeonferry.settings.Settings;
@@ -90,7 +92,12 @@
                                 "GET",
                                 "/metrics.json",
                                 MetricsEndpoints.jsonEndpoint(metrics.registry()));
-        server = HttpServers.start("agent", identity.address(), routes);
+        server =
+                HttpServers.start(
+                        "agent",
+                        identity.address(),
+                        routes,
+                        new Ingress(IngressKeys.limits(settings), metrics));
         exchanger.start(settings.value(NodeKeys.EXCHANGE_PERIOD));
         createUpstreamWatcher(settings).start();
         LOG.atInfo().addKeyValue("upstream", settings.value(AgentKeys.UPSTREAM)).log("agent up");
--- a/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
+++ b/agent/src/main/java/org/wigeonferry/agent/OrderEndpoint.java
@@ -24,6 +24,7 @@
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.node_runtime.Replies;
 import org.wigeonferry.node_runtime.RequestBodies;
+import org.wigeonferry.node_runtime.ingress.NoRoomException;
 
 /**
  * Receives orders from entries, and runs those that are admitted.
@@ -66,6 +67,10 @@
         RequestBodies.read(request, MAX_ORDER_BYTES)
                 .whenComplete(
                         (body, failure) -> {
+                            if (failure instanceof NoRoomException) {
+                                replyUnavailable(response, callback, failure);
+                                return;
+                            }
                             if (failure != null) {
                                 replyBadRequest(response, callback, failure);
                                 return;
--- a/command_line/src/test/java/org/wigeonferry/command_line/ingress/DrippingCallersTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/ingress/DrippingCallersTest.java
@@ -1,13 +1,11 @@
 package org.wigeonferry.command_line.ingress;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
  * Guards against callers that send or read a byte now and then, so that no idle timeout ends them:
  * they kept the router's descriptors and its memory for as long as they liked.
  */
-@Tag("known-red")
 class DrippingCallersTest {
     /** More than the process has file descriptors. */
     private static final int SENDERS = 700;
--- a/command_line/src/test/java/org/wigeonferry/command_line/ingress/IncompleteBodiesTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/ingress/IncompleteBodiesTest.java
@@ -1,6 +1,5 @@
 package org.wigeonferry.command_line.ingress;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -22,7 +21,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void bodiesInOnePiece() throws Exception {
         try (IngressRouter router = new IngressRouter("bodies-in-one-piece");
                 CallerGroup group = new CallerGroup()) {
@@ -38,7 +36,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void bodiesInSmallPieces() throws Exception {
         try (IngressRouter router = new IngressRouter("bodies-in-small-pieces");
                 CallerGroup group = new CallerGroup()) {
@@ -55,7 +52,6 @@
 
     /** Chunks of one byte: what the router keeps for a byte counts, not the byte alone. */
     @Test
-    @Tag("known-red")
     void bodiesInChunks() throws Exception {
         try (IngressRouter router = new IngressRouter("bodies-in-chunks");
                 CallerGroup group = new CallerGroup()) {
--- a/command_line/src/test/java/org/wigeonferry/command_line/ingress/ManyShortFieldsTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/ingress/ManyShortFieldsTest.java
@@ -1,13 +1,11 @@
 package org.wigeonferry.command_line.ingress;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
  * Guards against a router that runs out of memory through heads of legal size made of very many
  * short fields: in memory, a field of four bytes takes about a hundred.
  */
-@Tag("known-red")
 class ManyShortFieldsTest {
     private static final int CALLERS = 360;
 
--- a/command_line/src/test/java/org/wigeonferry/command_line/ingress/SlowReadersTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/ingress/SlowReadersTest.java
@@ -1,6 +1,5 @@
 package org.wigeonferry.command_line.ingress;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -11,7 +10,6 @@
     private static final int CALLERS = 60;
 
     @Test
-    @Tag("known-red")
     void callersThatDoNotRead() throws Exception {
         try (IngressRouter router = new IngressRouter("slow-readers");
                 CallerGroup group = new CallerGroup()) {
--- a/command_line/src/test/java/org/wigeonferry/command_line/ingress/SlowSendersTest.java
+++ b/command_line/src/test/java/org/wigeonferry/command_line/ingress/SlowSendersTest.java
@@ -1,13 +1,11 @@
 package org.wigeonferry.command_line.ingress;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
  * Guards against a router that runs out of file descriptors through callers that stop midway, and
  * so can accept no caller and connect to no upstream.
  */
-@Tag("known-red")
 class SlowSendersTest {
     /** More than the process has file descriptors. */
     private static final int CALLERS = 700;
--- a/entry/src/main/java/org/wigeonferry/entry/ApiErrors.java
+++ b/entry/src/main/java/org/wigeonferry/entry/ApiErrors.java
@@ -27,6 +27,12 @@
         return new ApiError(BAD_REQUEST, "bad_request", true, message);
     }
 
+    /** The error for a request whose body the process has no room for. */
+    static ApiError noRoom() {
+        return new ApiError(
+                UNAVAILABLE, "not_run", true, "too many incomplete requests", RETRY_AFTER);
+    }
+
     static ApiError unauthorized() {
         return new ApiError(UNAUTHORIZED, "unauthorized", true, "no valid API key");
     }
--- a/entry/src/main/java/org/wigeonferry/entry/AuthenticatedEndpoint.java
+++ b/entry/src/main/java/org/wigeonferry/entry/AuthenticatedEndpoint.java
@@ -10,6 +10,7 @@
 import org.wigeonferry.node_runtime.Endpoint;
 import org.wigeonferry.node_runtime.Replies;
 import org.wigeonferry.node_runtime.RequestBodies;
+import org.wigeonferry.node_runtime.ingress.NoRoomException;
 
 /**
  * Wraps a handler of caller requests: authenticates the client account and reads the body, up to a
@@ -35,6 +36,10 @@
             RequestBodies.read(request, MAX_BODY_BYTES)
                     .whenComplete(
                             (body, failure) -> {
+                                if (failure instanceof NoRoomException) {
+                                    Replies.sendError(response, callback, ApiErrors.noRoom());
+                                    return;
+                                }
                                 if (failure != null) {
                                     replyBadRequest(response, callback, failure);
                                     return;
--- a/entry/src/main/java/org/wigeonferry/entry/Entry.java
+++ b/entry/src/main/java/org/wigeonferry/entry/Entry.java
@@ -29,6 +29,8 @@
 import org.wigeonferry.node_runtime.NodeKeys;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.node_runtime.PeerEndpoint;
+import org.wigeonferry.node_runtime.ingress.Ingress;
+import org.wigeonferry.node_runtime.ingress.IngressKeys;
 import org.wigeonferry.platform_clients.HttpRatingClient;
 import org.wigeonferry.platform_clients.HttpTableClient;
 import org.wigeonferry.platform_clients.JsonHttpClient;
@@ -100,17 +102,25 @@
                         settings.value(EntrySettingKeys.ADMIN_KEY_DIGESTS))
                 .addTo(adminRoutes);
         addMetrics(adminRoutes);
+        Ingress ingress = new Ingress(IngressKeys.limits(settings), metrics);
         peerServer =
                 HttpServers.start(
-                        "peers", controlState.identity().address(), peerRoutes(peerKey, exchanger));
+                        "peers",
+                        controlState.identity().address(),
+                        peerRoutes(peerKey, exchanger),
+                        ingress);
         adminServer =
                 HttpServers.start(
-                        "admins", settings.value(EntrySettingKeys.ADMIN_ADDRESS), adminRoutes);
+                        "admins",
+                        settings.value(EntrySettingKeys.ADMIN_ADDRESS),
+                        adminRoutes,
+                        ingress);
         callerServer =
                 HttpServers.start(
                         "callers",
                         settings.value(EntrySettingKeys.CALLER_ADDRESS),
-                        callerRoutes(runtime, settings));
+                        callerRoutes(runtime, settings),
+                        ingress);
         poller.start(settings.value(EntrySettingKeys.STORE_POLL_PERIOD));
         exchanger.start(settings.value(NodeKeys.EXCHANGE_PERIOD));
         billKeeper.start(settings.value(EntrySettingKeys.BILL_WRITE_PERIOD));
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/NodeKeys.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/NodeKeys.java
@@ -1,8 +1,10 @@
 package org.wigeonferry.node_runtime;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.node_runtime.ingress.IngressKeys;
 import org.wigeonferry.settings.SettingKey;
 import org.wigeonferry.settings.SettingKeyFactory;
 
@@ -127,6 +129,12 @@
 
     /** All keys of this class. */
     public static List<SettingKey<?>> all() {
+        List<SettingKey<?>> keys = new ArrayList<>(ownKeys());
+        keys.addAll(IngressKeys.all());
+        return List.copyOf(keys);
+    }
+
+    private static List<SettingKey<?>> ownKeys() {
         return List.of(
                 NAME,
                 ZONE,
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/RequestBodies.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/RequestBodies.java
@@ -2,9 +2,9 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
+import org.wigeonferry.node_runtime.ingress.BodyReader;
 
 /**
  * Reads request bodies of bounded length.
@@ -14,13 +14,16 @@
 public final class RequestBodies {
     private RequestBodies() {}
 
-    /** Reads the body; the future fails if it is longer than {@code maxBytes}. */
+    /**
+     * Reads the body; the future fails if it is longer than {@code maxBytes}, or if the process has
+     * no room for it.
+     */
     public static CompletableFuture<byte[]> read(Request request, int maxBytes) {
         if (request.getLength() > maxBytes) {
             return CompletableFuture.failedFuture(
                     new IllegalStateException("body longer than " + maxBytes + " bytes"));
         }
-        return Content.Source.asByteArrayAsync(request, maxBytes);
+        return BodyReader.read(request, maxBytes);
     }
 
     /**
--- /dev/null
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/ConnectionPhase.java
@@ -0,0 +1,13 @@
+package org.wigeonferry.node_runtime.ingress;
+
+/** What a connection waits for. */
+enum ConnectionPhase {
+    /** The first byte of a request. */
+    IDLE,
+    /** The rest of a head. */
+    HEAD,
+    /** The rest of a body. */
+    BODY,
+    /** The response of this process. */
+    HANDLING
+}
--- a/router/src/main/java/org/wigeonferry/router/CallerRequestHandler.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerRequestHandler.java
@@ -13,6 +13,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.wigeonferry.node_runtime.RequestBodies;
+import org.wigeonferry.node_runtime.ingress.NoRoomException;
 import org.wigeonferry.routing.Account;
 import org.wigeonferry.routing.AdmissionResult;
 import org.wigeonferry.routing.Admitted;
@@ -61,7 +62,10 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         CallerResponse callerResponse =
-                new CallerResponse(response, context.inFlight().track(callback));
+                new CallerResponse(
+                        response,
+                        context.inFlight().track(callback),
+                        new BufferReservation(context.responseBudget()));
         Optional<RoutedRequest> decoded = context.protocol().requestDecoder().decode(request);
         if (decoded.isEmpty() || !isForwardable(request.getHttpURI())) {
             refuse(callerResponse, "", RefusalCause.MALFORMED, ConfigurationVersion.NOT_CONSULTED);
@@ -126,6 +130,14 @@
         RequestBodies.read(request, limit)
                 .whenComplete(
                         (body, failure) -> {
+                            if (failure instanceof NoRoomException) {
+                                refuse(
+                                        callerResponse,
+                                        job.request().id(),
+                                        RefusalCause.OVERLOADED,
+                                        configuration);
+                                return;
+                            }
                             if (failure != null) {
                                 callerResponse.abort(failure);
                                 return;
--- a/router/src/main/java/org/wigeonferry/router/CallerResponse.java
+++ b/router/src/main/java/org/wigeonferry/router/CallerResponse.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
@@ -33,8 +34,14 @@
 
     private final Response response;
     private final Callback callback;
+    private final BufferReservation streamReservation;
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final Deque<ByteBuffer> pending = new ArrayDeque<>();
     private int pendingBytes;
+
+    /** Bytes of the write in progress. */
+    private int writtenBytes;
+
     private boolean writing;
     private boolean endRequested;
     private boolean finished;
@@ -43,9 +50,16 @@
     /** The step that ends the response; empty until it ends, and once it has been taken. */
     private Optional<Runnable> finalStep = Optional.empty();
 
-    CallerResponse(Response response, Callback callback) {
+    CallerResponse(Response response, Callback callback, BufferReservation streamReservation) {
         this.response = response;
-        this.callback = callback;
+        this.callback = Callback.from(callback, () -> ended.complete(null));
+        this.streamReservation = streamReservation;
+        onEnd(streamReservation::close);
+    }
+
+    /** Runs the action once the caller has got the response, or is gone. */
+    void onEnd(Runnable action) {
+        ended.thenRun(action);
     }
 
     /** Sends a complete response; does nothing if the response is already finished. */
@@ -86,7 +100,9 @@
     void flush() {
         boolean callerReadsTooSlowly;
         synchronized (this) {
-            callerReadsTooSlowly = pendingBytes > MAX_PENDING_BYTES;
+            callerReadsTooSlowly =
+                    pendingBytes > MAX_PENDING_BYTES
+                            || !streamReservation.tryResize(pendingBytes + writtenBytes);
         }
         if (callerReadsTooSlowly) {
             abort(new IOException("caller reads too slowly: buffered events exceed the limit"));
@@ -200,11 +216,13 @@
     private void onWritten() {
         synchronized (this) {
             writing = false;
+            writtenBytes = 0;
         }
         runSteps();
     }
 
     private ByteBuffer takePending() {
+        writtenBytes = pendingBytes;
         pendingBytes = 0;
         if (pending.size() == 1) {
             return pending.poll();
--- a/router/src/main/java/org/wigeonferry/router/DisconnectDetectingEndPoint.java
+++ b/router/src/main/java/org/wigeonferry/router/DisconnectDetectingEndPoint.java
@@ -6,13 +6,15 @@
 import java.nio.channels.ReadPendingException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.ManagedSelector;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.wigeonferry.node_runtime.ingress.Ingress;
+import org.wigeonferry.node_runtime.ingress.IngressEndPoint;
 
 /**
  * A caller's connection that detects, while a request is handled, that the caller disconnected.
@@ -22,7 +24,7 @@
  * at most one read interest is registered with the selector, with {@link #readCallback}, which
  * serves both Jetty and the detection of disconnects. Thread safe.
  */
-final class DisconnectDetectingEndPoint extends SocketChannelEndPoint {
+final class DisconnectDetectingEndPoint extends IngressEndPoint {
     private static final int READ_AHEAD_BYTES = 4096;
 
     /** Value of the socket option that lets the kernel send what is left after a close. */
@@ -41,8 +43,10 @@
             SocketChannel channel,
             ManagedSelector selector,
             SelectionKey key,
-            Scheduler scheduler) {
-        super(channel, selector, key, scheduler);
+            Scheduler scheduler,
+            Ingress ingress,
+            Executor executor) {
+        super(channel, selector, key, scheduler, ingress, executor);
     }
 
     /** The connection of a request that came through a {@link DisconnectDetectingConnector}. */
--- a/router/src/main/java/org/wigeonferry/router/ResponseBudget.java
+++ b/router/src/main/java/org/wigeonferry/router/ResponseBudget.java
@@ -39,6 +39,11 @@
         reservedBytes.addAndGet(-bytes);
     }
 
+    /** Whether half of the limit is reserved. */
+    boolean isUnderPressure() {
+        return reservedBytes.get() * 2 >= limitBytes;
+    }
+
     /** Bytes that are reserved at present. */
     long reservedBytes() {
         return reservedBytes.get();
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -88,6 +88,11 @@
         callerResponse.flush();
     }
 
+    /** Runs the action once the caller has got the response, or is gone. */
+    void onResponseWritten(Runnable action) {
+        callerResponse.onEnd(action);
+    }
+
     /** Records what an upstream says of itself. */
     void onAnnouncement(Send send, UpstreamAnnouncement announcement) {
         recorder.recordAnnouncement(send, announcement);
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -1,11 +1,11 @@
 package org.wigeonferry.router;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.wigeonferry.routing.Route;
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendOutcome;
@@ -49,7 +49,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private final EventScanner scanner = new EventScanner();
     private final BufferReservation reservation;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBuffer body;
     private volatile Optional<ResponseHead> responseHead = Optional.empty();
     private volatile Optional<MessageFraming> responseFraming = Optional.empty();
     private volatile Runnable closeConnection = () -> {};
@@ -64,6 +64,7 @@
         this.call = call;
         this.send = send;
         reservation = new BufferReservation(context.responseBudget());
+        body = new ResponseBuffer(MAX_RESPONSE_BYTES, reservation);
     }
 
     void start(UpstreamRequest request) {
@@ -86,6 +87,7 @@
     public void onHeaders(int status, HttpFields fields) {
         ResponseHead decodedHead = context.protocol().responseHeadDecoder().decode(status, fields);
         responseFraming = Optional.of(MessageFraming.of(fields));
+        body.declareLength(fields.getLongField(HttpHeader.CONTENT_LENGTH));
         responseHead = Optional.of(decodedHead);
         long nowNanos = context.control().nanoTime();
         context.control()
@@ -130,7 +132,7 @@
         } else {
             SendOutcome outcome =
                     decodedHead.isServerError() ? SendOutcome.FAILED : SendOutcome.ANSWERED;
-            finish(outcome, Optional.of(new CompleteResponse(decodedHead, body.toByteArray())));
+            finish(outcome, Optional.of(new CompleteResponse(decodedHead, body.take())));
         }
     }
 
@@ -254,28 +256,26 @@
             completeEvents = scanner.eventCount();
             call.forwardEvents(this, decodedHead, scanner, events);
         }
-        endIfTooLarge(scanner.incompleteEventBytes(), MAX_EVENT_BYTES);
+        endIfTooLarge(scanner.incompleteEventBytes());
     }
 
     private void collect(ByteBuffer bytes) {
-        int newSize = body.size() + bytes.remaining();
-        if (endIfTooLarge(newSize, MAX_RESPONSE_BYTES)) {
+        if (!body.tryAppend(bytes)) {
+            finish(SendOutcome.BROKEN, Optional.empty());
             return;
         }
-        body.write(bytes.array(), bytes.arrayOffset() + bytes.position(), bytes.remaining());
+        int newSize = body.size();
         if (newSize - bytesAtLastProgress >= MIN_PROGRESS_BYTES) {
             bytesAtLastProgress = newSize;
             recordProgress();
         }
     }
 
-    /** Ends the send if the buffered bytes exceed a limit or the memory of all responses. */
-    private boolean endIfTooLarge(int bufferedBytes, int maxBytes) {
-        if (bufferedBytes <= maxBytes && reservation.tryResize(bufferedBytes)) {
-            return false;
+    /** Ends the send if an event exceeds its limit or the memory of all responses. */
+    private void endIfTooLarge(int eventBytes) {
+        if (eventBytes > MAX_EVENT_BYTES || !reservation.tryResize(eventBytes)) {
+            finish(SendOutcome.BROKEN, Optional.empty());
         }
-        finish(SendOutcome.BROKEN, Optional.empty());
-        return true;
     }
 
     private void finish(SendOutcome outcome, Optional<CompleteResponse> response) {
@@ -283,7 +283,12 @@
             return;
         }
         closeConnection.run();
-        reservation.close();
+        body.discard();
+        if (response.isPresent()) {
+            call.onResponseWritten(reservation::close);
+        } else {
+            reservation.close();
+        }
         call.onSendEnded(this, toReport(outcome), response);
     }
 }
--- a/router/src/main/java/org/wigeonferry/router/RouterServer.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterServer.java
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -21,6 +20,10 @@
 import org.wigeonferry.node_runtime.MetricsEndpoints;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.node_runtime.Replies;
+import org.wigeonferry.node_runtime.ingress.Ingress;
+import org.wigeonferry.node_runtime.ingress.IngressConnectionFactory;
+import org.wigeonferry.node_runtime.ingress.IngressHandler;
+import org.wigeonferry.node_runtime.ingress.IngressLimits;
 
 /**
  * Serves callers, readiness and metrics.
@@ -66,6 +69,7 @@
             RouterControl routerControl,
             UpstreamSender sender,
             WireProtocol protocol,
+            IngressLimits limits,
             NodeMetrics metrics)
             throws StepException {
         this.control = control;
@@ -90,12 +94,15 @@
                                 inFlight));
         metrics.registerGauge("in_flight", inFlight::count);
         metrics.registerGauge("response_bytes_reserved", responseBudget::reservedBytes);
-        callerServer = start(threads, addresses.callers(), handler);
+        Ingress ingress = new Ingress(limits, metrics);
+        ingress.addPressure(responseBudget::isUnderPressure);
+        callerServer = start(threads, addresses.callers(), handler, ingress);
         readinessServer =
                 HttpServers.start(
                         "ready",
                         List.of(addresses.readiness(), addresses.metrics()),
-                        createReadinessAndMetricsHandler(metrics));
+                        createReadinessAndMetricsHandler(metrics),
+                        ingress);
     }
 
     @Override
@@ -152,7 +159,8 @@
                                                         emptyBody)));
     }
 
-    private static Server start(QueuedThreadPool threads, HostAddress address, Handler handler)
+    private static Server start(
+            QueuedThreadPool threads, HostAddress address, Handler handler, Ingress ingress)
             throws StepException {
         Server server = new Server(threads);
         HttpConfiguration configuration = new HttpConfiguration();
@@ -161,12 +169,13 @@
         configuration.setSendDateHeader(false);
         configuration.setUriCompliance(UriCompliance.UNSAFE);
         ServerConnector connector =
-                new DisconnectDetectingConnector(server, new HttpConnectionFactory(configuration));
+                new DisconnectDetectingConnector(
+                        server, ingress, new IngressConnectionFactory(configuration));
         connector.setHost(address.host());
         connector.setPort(address.port());
         connector.setIdleTimeout(CALLER_IDLE_TIMEOUT.toMillis());
         server.addConnector(connector);
-        server.setHandler(handler);
+        server.setHandler(new IngressHandler(handler));
         try {
             server.start();
         } catch (Exception e) {
--- a/router/src/test/java/org/wigeonferry/router/CallersThatLeaveHangRouterTest.java
+++ b/router/src/test/java/org/wigeonferry/router/CallersThatLeaveHangRouterTest.java
@@ -31,7 +31,9 @@
                                 new Class<?>[] {Response.class},
                                 (proxy, method, args) -> onJettyCall(method.getName(), args));
         return new CallerResponse(
-                response, Callback.from(() -> record("succeeded"), cause -> record("failed")));
+                response,
+                Callback.from(() -> record("succeeded"), cause -> record("failed")),
+                reservation());
     }
 
     private Object onJettyCall(String method, Object... args) {
@@ -97,7 +99,10 @@
                                     return null;
                                 });
         callerResponse =
-                new CallerResponse(response, Callback.from(() -> {}, cause -> record("failed")));
+                new CallerResponse(
+                        response,
+                        Callback.from(() -> {}, cause -> record("failed")),
+                        reservation());
         send("event");
         assertThat(calls).containsExactly("write begins", "write ends", "failed");
     }
@@ -113,8 +118,15 @@
                                     throw new IllegalStateException("already committed");
                                 });
         callerResponse =
-                new CallerResponse(response, Callback.from(() -> {}, cause -> record("failed")));
+                new CallerResponse(
+                        response,
+                        Callback.from(() -> {}, cause -> record("failed")),
+                        reservation());
         callerResponse.sendComplete(200, HttpFields.EMPTY, new byte[0]);
         assertThat(calls).containsExactly("failed");
     }
+
+    private static BufferReservation reservation() {
+        return new BufferReservation(new ResponseBudget(1 << 20));
+    }
 }
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -13,6 +13,7 @@
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.NodeMetrics;
+import org.wigeonferry.node_runtime.ingress.IngressKeys;
 import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.RequestKind;
 import org.wigeonferry.routing.Route;
@@ -58,6 +59,7 @@
                         router,
                         sender,
                         TestProtocol.protocol(),
+                        IngressKeys.defaultLimits(),
                         metrics);
         control.submit(
                         () -> {
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/DeskStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/DeskStandIn.java
@@ -50,7 +50,12 @@
                         .add("GET", "/lookup", this::serveLookUp)
                         .add("GET", "/v1/watch", watchers::serve)
                         .add("GET", "/ledger", this::serveLedger);
-        server = HttpServers.start("desk", settings.value(StandInKeys.ADDRESS), routes);
+        server =
+                HttpServers.start(
+                        "desk",
+                        settings.value(StandInKeys.ADDRESS),
+                        routes,
+                        StandInIngress.create());
     }
 
     /** How often each key truly ran. */
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/EngineStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/EngineStandIn.java
@@ -73,7 +73,12 @@
                         .add("POST", "/control/crash", this::serveCrash)
                         .add("POST", "/control/leave", this::serveLeave)
                         .add("POST", "/control/skill-loss", this::serveSkillLoss);
-        server = HttpServers.start("engine", settings.value(StandInKeys.ADDRESS), routes);
+        server =
+                HttpServers.start(
+                        "engine",
+                        settings.value(StandInKeys.ADDRESS),
+                        routes,
+                        StandInIngress.create());
     }
 
     /** What the engine truly ran. */
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/StoreStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/StoreStandIn.java
@@ -63,7 +63,8 @@
                         new EndpointDispatcher()
                                 .add("GET", "/api/rows-get", this::read)
                                 .add("GET", "/api/rows-feed", this::feed)
-                                .add("POST", "/api/rows-tx", this::write));
+                                .add("POST", "/api/rows-tx", this::write),
+                        StandInIngress.create());
     }
 
     /** Where it listens. */
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/TableStandIn.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/TableStandIn.java
@@ -61,7 +61,12 @@
                         .add("POST", "/v1/rate", this::serveRate)
                         .add("POST", "/control/fault", this::serveFault)
                         .add("GET", "/ledger", this::serveLedger);
-        server = HttpServers.start("table", settings.value(StandInKeys.ADDRESS), routes);
+        server =
+                HttpServers.start(
+                        "table",
+                        settings.value(StandInKeys.ADDRESS),
+                        routes,
+                        StandInIngress.create());
     }
 
     /** Misbehaves from now on. */
