--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -1,11 +1,11 @@
 package org.wigeonferry.router;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
@@ -36,7 +36,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private final EventScanner scanner = new EventScanner();
     private final BufferReservation reservation;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBuffer body;
     private volatile Optional<ResponseHead> responseHead = Optional.empty();
     private volatile Optional<MessageFraming> responseFraming = Optional.empty();
     private volatile Runnable closeConnection = () -> {};
@@ -51,6 +51,7 @@
         this.call = call;
         this.send = send;
         reservation = new BufferReservation(context.responseBudget());
+        body = new ResponseBuffer(MAX_RESPONSE_BYTES, reservation);
     }
 
     void start(UpstreamRequest request) {
@@ -78,6 +79,7 @@
         if (!tryRecordHead(decodedHead, fields)) {
             return;
         }
+        body.declareLength(fields.getLongField(HttpHeader.CONTENT_LENGTH));
         long nowNanos = context.control().nanoTime();
         context.control()
                 .execute(
@@ -125,7 +127,7 @@
         } else {
             SendOutcome outcome =
                     decodedHead.isServerError() ? SendOutcome.FAILED : SendOutcome.ANSWERED;
-            finish(outcome, Optional.of(new CompleteResponse(decodedHead, body.toByteArray())));
+            finish(outcome, Optional.of(new CompleteResponse(decodedHead, body.take())));
         }
     }
 
@@ -246,28 +248,26 @@
             completeEvents = scanner.eventCount();
             call.forwardEvents(this, decodedHead, scanner, events);
         }
-        endIfTooLarge(scanner.incompleteEventBytes(), MAX_EVENT_BYTES);
+        endIfTooLarge(scanner.incompleteEventBytes());
     }
 
     private void collect(ByteBuffer bytes) {
-        int newSize = body.size() + bytes.remaining();
-        if (endIfTooLarge(newSize, MAX_RESPONSE_BYTES)) {
+        if (!body.tryAppend(bytes)) {
+            finish(SendOutcome.BROKEN, Optional.empty());
             return;
         }
-        body.write(bytes.array(), bytes.arrayOffset() + bytes.position(), bytes.remaining());
+        int newSize = body.size();
         if (newSize - bytesAtLastProgress >= MIN_PROGRESS_BYTES) {
             bytesAtLastProgress = newSize;
             recordProgress();
         }
     }
 
-    /** Ends the send if the buffered bytes exceed a limit or the memory of all responses. */
-    private boolean endIfTooLarge(int bufferedBytes, int maxBytes) {
-        if (bufferedBytes <= maxBytes && reservation.tryResize(bufferedBytes)) {
-            return false;
+    /** Ends the send if an event exceeds its limit or the memory of all responses. */
+    private void endIfTooLarge(int eventBytes) {
+        if (eventBytes > MAX_EVENT_BYTES || !reservation.tryResize(eventBytes)) {
+            finish(SendOutcome.BROKEN, Optional.empty());
         }
-        finish(SendOutcome.BROKEN, Optional.empty());
-        return true;
     }
 
     private void finish(SendOutcome outcome, Optional<CompleteResponse> response) {
@@ -279,7 +279,12 @@
             report = toReport(outcome);
         }
         closeConnection.run();
-        reservation.close();
+        body.discard();
+        if (response.isPresent()) {
+            call.onResponseWritten(reservation::close);
+        } else {
+            reservation.close();
+        }
         call.onSendEnded(this, report, response);
     }
 
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -15,6 +15,7 @@
 import org.wigeonferry.core_types.HostAddress;
 import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.NodeMetrics;
+import org.wigeonferry.node_runtime.ingress.IngressKeys;
 import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.RequestKind;
 import org.wigeonferry.routing.Route;
@@ -80,6 +81,7 @@
                         router,
                         sender,
                         TestProtocol.protocol(),
+                        IngressKeys.defaultLimits(),
                         metrics);
         control.submit(
                         () -> {
