A response cut off during the upload, or with status 600 and above, reaches no caller

Callers saw: a 200 with part of its body as a complete response, when an upstream answered a long upload at once, without a length, and reset or ended the connection; and responses with a status such as 600. Cause: the write of the upload may be told of the reset (which clears the socket's error), so the read sees an ordinary end; and a complete response with a failed request counted as answered, whatever marked its end. Ruled out: statuses 000 to 099 never reached callers, as Jetty's parser rejects them; tests keep it so. Change: a response that only the end of its connection delimits is complete only if the whole request was written. The upload stops at the end of the response; a response with a length is then delivered at once, where it waited for the upload until the deadline before. A status outside 200 to 599 is no final response, and its header fields prove nothing.

--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
@@ -48,8 +48,22 @@
      * @return the limit, which has to be told of the content
      */
     public static OverheadLimit limitOverhead(Connection connection) {
+        return endPoint(connection).limitOverhead();
+    }
+
+    /**
+     * Stops the upload of a request on an HTTP/1.1 connection when its response has ended, as the
+     * peer may never read the rest. The request fails unless all of it was written before.
+     */
+    public static void stopUpload(Connection connection) {
+        if (endPoint(connection).endResponse()) {
+            connection.close();
+        }
+    }
+
+    private static ResetDetectingEndPoint endPoint(Connection connection) {
         EndPoint endPoint = ((org.eclipse.jetty.io.Connection) connection).getEndPoint();
-        return ((ResetDetectingEndPoint) endPoint).limitOverhead();
+        return (ResetDetectingEndPoint) endPoint;
     }
 
     private static HttpClient start(HttpClient client, String name, Duration connectTimeout)
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetDetectingEndPoint.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetDetectingEndPoint.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Arrays;
 import java.util.Optional;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -15,10 +16,15 @@
  *
  * <p>Jetty's own class treats a reset as the end of the stream, so a truncated answer whose end is
  * marked by the end of its connection would be taken for complete. The bytes that are not content
- * can be limited. Thread safe.
+ * can be limited. A request of which bytes are unwritten at the end of its response fails. Thread
+ * safe.
  */
 final class ResetDetectingEndPoint extends SocketChannelEndPoint {
     private volatile Optional<OverheadLimit> overheadLimit = Optional.empty();
+    private volatile boolean responseEnded;
+
+    /** Whether the last write, now completed, left bytes that the socket did not take. */
+    private volatile boolean bytesUnwritten;
 
     ResetDetectingEndPoint(
             SocketChannel channel,
@@ -48,6 +54,29 @@
         }
     }
 
+    @Override
+    public boolean flush(ByteBuffer... buffers) throws IOException {
+        bytesUnwritten = false;
+        if (responseEnded && hasRemaining(buffers)) {
+            throw unfinishedRequest();
+        }
+        boolean flushed = super.flush(buffers);
+        bytesUnwritten = hasRemaining(buffers);
+        if (responseEnded && bytesUnwritten) {
+            throw unfinishedRequest();
+        }
+        return flushed;
+    }
+
+    /**
+     * Lets writes fail from now on; false if no byte is unwritten as far as known. A write that is
+     * under way decides itself, as the peer may have read all of it already.
+     */
+    boolean endResponse() {
+        responseEnded = true;
+        return bytesUnwritten;
+    }
+
     /** From now on, limits the bytes that are not reported as content. */
     OverheadLimit limitOverhead() {
         OverheadLimit limit = new OverheadLimit();
@@ -55,6 +84,14 @@
         return limit;
     }
 
+    private static boolean hasRemaining(ByteBuffer... buffers) {
+        return Arrays.stream(buffers).anyMatch(ByteBuffer::hasRemaining);
+    }
+
+    private static IOException unfinishedRequest() {
+        return new IOException("the response ended before the request was written");
+    }
+
     private void recordOverhead(int bytes) throws IOException {
         Optional<OverheadLimit> limit = overheadLimit;
         if (limit.isPresent()) {
--- a/router/src/main/java/org/wigeonferry/router/JettySendCallbacks.java
+++ b/router/src/main/java/org/wigeonferry/router/JettySendCallbacks.java
@@ -18,6 +18,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean cancelled;
     private volatile boolean requestBegun;
+    private volatile boolean endsWithConnection;
 
     JettySendCallbacks(SendListener listener) {
         this.listener = listener;
@@ -42,6 +43,7 @@
     }
 
     void onHeaders(Response response) {
+        endsWithConnection = MessageFraming.endsWithConnection(response);
         listener.onHeaders(response.getStatus(), response.getHeaders());
     }
 
@@ -62,8 +64,10 @@
         }
         Throwable cause = result.getFailure();
         boolean answered = result.getResponse() != null && result.getResponseFailure() == null;
-        if (answered && result.getRequestFailure() != null) {
-            // The upstream sent a complete response before it had read the whole request.
+        // The upstream may complete its response before it has read the whole request. A response
+        // that ends with its connection has no such end: the write may have consumed the error of
+        // a reset, and the read then sees an ordinary end.
+        if (answered && result.getRequestFailure() != null && !endsWithConnection) {
             listener.onComplete();
             return;
         }
--- a/router/src/main/java/org/wigeonferry/router/JettySender.java
+++ b/router/src/main/java/org/wigeonferry/router/JettySender.java
@@ -71,7 +71,8 @@
                         (response, chunk, demander) -> {
                             overheadLimit.onContent(chunk.remaining());
                             callbacks.onContent(response, chunk, demander);
-                        });
+                        })
+                .onResponseSuccess(response -> HttpClients.stopUpload(connection));
         connection.send(
                 request,
                 result -> {
--- a/router/src/main/java/org/wigeonferry/router/MessageFraming.java
+++ b/router/src/main/java/org/wigeonferry/router/MessageFraming.java
@@ -1,8 +1,11 @@
 package org.wigeonferry.router;
 
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * How the end of a response's body is marked (RFC 9112, section 6.3).
@@ -24,4 +27,13 @@
         }
         return fields.contains(HttpHeader.CONTENT_LENGTH) ? LENGTH : CLOSE;
     }
+
+    /** Whether only the end of the connection marks the end of this response. */
+    static boolean endsWithConnection(Response response) {
+        boolean withoutBody =
+                HttpMethod.HEAD.is(response.getRequest().getMethod())
+                        || response.getStatus() == HttpStatus.NO_CONTENT_204
+                        || response.getStatus() == HttpStatus.NOT_MODIFIED_304;
+        return !withoutBody && of(response.getHeaders()) == CLOSE;
+    }
 }
--- a/router/src/main/java/org/wigeonferry/router/ResponseHead.java
+++ b/router/src/main/java/org/wigeonferry/router/ResponseHead.java
@@ -32,21 +32,26 @@
         Optional<ReportedLoad> load,
         UpstreamAnnouncement announcement,
         HttpFields forwardedFields) {
+    private static final int MIN_FINAL_STATUS = 200;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
+    private static final int MAX_STATUS = 599;
 
     /**
-     * Whether the response may be forwarded as the answer to a request: an upstream sent it, its
-     * body is not encoded, and it names the request's id.
+     * Whether the response may be forwarded as the answer to a request: an upstream sent it with a
+     * final status, its body is not encoded, and it names the request's id.
      */
     public boolean isValidResponseTo(String id) {
-        return hasUpstreamStamp && !hasContentEncoding && requestId.filter(id::equals).isPresent();
+        return hasFinalStatus()
+                && hasUpstreamStamp
+                && !hasContentEncoding
+                && requestId.filter(id::equals).isPresent();
     }
 
     /**
      * The outcome of a send with this id if the head alone decides it; empty if the body counts.
      */
     Optional<SendOutcome> outcomeWithoutBody(String id) {
-        if (namesAnotherRequest(id)) {
+        if (namesAnotherRequest(id) || !hasFinalStatus()) {
             return Optional.of(SendOutcome.BROKEN);
         }
         if (misdirected) {
@@ -67,6 +72,11 @@
         return requestId.filter(named -> !named.equals(id)).isPresent();
     }
 
+    /** Whether the status is a valid one of a final response (RFC 9110, section 15). */
+    private boolean hasFinalStatus() {
+        return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+    }
+
     /** Whether the status is 500 or above. */
     public boolean isServerError() {
         return status >= MIN_SERVER_ERROR_STATUS;
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -147,6 +147,7 @@
                 .addRoute(route("safe", RequestKind.SAFE))
                 .addRoute(route("unsafe", RequestKind.UNSAFE))
                 .addRoute(route("stream", RequestKind.RESUMABLE_STREAM))
+                .addRoute(route("stream-once", RequestKind.STREAM))
                 .addRoute(route("other", "//", RequestKind.SAFE))
                 .build();
     }
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/ScriptedUpstream.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/ScriptedUpstream.java
@@ -23,6 +23,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(ScriptedUpstream.class);
     private static final String HEAD_END = "\r\n\r\n";
 
+    private static final int SMALL_BUFFER_BYTES = 16 << 10;
+
     private final ServerSocket listener;
     private final UpstreamScript script;
     private final List<String> requests = new CopyOnWriteArrayList<>();
@@ -35,9 +37,10 @@
         daemon(this::accept).start();
     }
 
-    /** Answers before the body of a request is read. */
-    public ScriptedUpstream withoutReadingBodies() {
+    /** Answers before the body of a request is read; the sender of a long body has to wait. */
+    public ScriptedUpstream withoutReadingBodies() throws IOException {
         readsBodies = false;
+        listener.setReceiveBufferSize(SMALL_BUFFER_BYTES);
         return this;
     }
 
