Connections to upstreams are kept and reused for idempotent requests, if set

Cause: each request opened its own connection. An upstream accepts few from all routers together, and a new one takes a round trip and a place there. Change: setting upstreams.idle-connections (default 0, each request on a connection of its own as before). Package router.connections decides without I/O: which connection a send uses, how long one is kept, which are closed. Non-idempotent requests always get a new connection. The end of a reused connection before the head of the response, and a late response to an earlier request, are the outcome LOST_ON_REUSE: no suspension, no mark of a loss, no poison evidence; the request is placed again at once, within the retry budget and maxRuns, on a new connection. With the setting on, sends to an upstream stay within this router's share of its max_connections.

--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
@@ -43,12 +43,31 @@
     }
 
     /**
-     * Bounds what the peer of an HTTP/1.1 connection may send besides content.
+     * Prepares an HTTP/1.1 connection for a request, and bounds what the peer may send besides
+     * content.
      *
      * @return the limit, which has to be told of the content
      */
-    public static OverheadLimit limitOverhead(Connection connection) {
-        return endPoint(connection).limitOverhead();
+    public static OverheadLimit beginExchange(Connection connection) {
+        return endPoint(connection).beginExchange();
+    }
+
+    /** Closes an HTTP/1.1 connection without requests as soon as the peer sends anything on it. */
+    public static void refuseBytes(Connection connection) {
+        endPoint(connection).refuseBytes();
+    }
+
+    /**
+     * Whether the peer has neither closed an HTTP/1.1 connection without requests nor sent anything
+     * on it; otherwise it has to be closed.
+     */
+    public static boolean isQuiet(Connection connection) {
+        return !connection.isClosed() && endPoint(connection).isQuiet();
+    }
+
+    /** Runs an action when an HTTP/1.1 connection has been closed, by either side. */
+    public static void onClosed(Connection connection, Runnable action) {
+        ((org.eclipse.jetty.io.Connection) connection).addEventListener(new ClosedListener(action));
     }
 
     /**
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetDetectingEndPoint.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetDetectingEndPoint.java
@@ -10,6 +10,8 @@
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A connection on which a TCP reset is a failure.
@@ -20,7 +22,11 @@
  * safe.
  */
 final class ResetDetectingEndPoint extends SocketChannelEndPoint {
+    private static final Logger LOG = LoggerFactory.getLogger(ResetDetectingEndPoint.class);
+
     private volatile Optional<OverheadLimit> overheadLimit = Optional.empty();
+    private volatile boolean refusesBytes;
+    private volatile boolean bytesRefused;
     private volatile boolean responseEnded;
 
     /** Whether the last write, now completed, left bytes that the socket did not take. */
@@ -77,8 +83,29 @@
         return bytesUnwritten;
     }
 
-    /** From now on, limits the bytes that are not reported as content. */
-    OverheadLimit limitOverhead() {
+    /** Fails reads of any bytes until the next {@link #beginExchange}. */
+    void refuseBytes() {
+        refusesBytes = true;
+    }
+
+    /** Whether the connection is open and the peer has sent nothing since {@link #refuseBytes}. */
+    boolean isQuiet() {
+        if (!isOpen() || isInputShutdown() || bytesRefused) {
+            return false;
+        }
+        try {
+            // The selector may not have seen yet what has arrived.
+            return ((SocketChannel) getChannel()).read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            LOG.debug("idle connection lost", e);
+            return false;
+        }
+    }
+
+    /** Prepares for a request, and limits the bytes that are not reported as content. */
+    OverheadLimit beginExchange() {
+        refusesBytes = false;
+        responseEnded = false;
         OverheadLimit limit = new OverheadLimit();
         overheadLimit = Optional.of(limit);
         return limit;
@@ -93,6 +120,10 @@
     }
 
     private void recordOverhead(int bytes) throws IOException {
+        if (refusesBytes) {
+            bytesRefused = true;
+            throw new IOException("the peer sent bytes that answer no request");
+        }
         Optional<OverheadLimit> limit = overheadLimit;
         if (limit.isPresent()) {
             limit.get().onRead(bytes);
--- a/router/src/main/java/org/wigeonferry/router/JettySendCallbacks.java
+++ b/router/src/main/java/org/wigeonferry/router/JettySendCallbacks.java
@@ -16,7 +16,6 @@
 final class JettySendCallbacks {
     private final SendListener listener;
     private final AtomicBoolean ended = new AtomicBoolean();
-    private volatile boolean cancelled;
     private volatile boolean requestBegun;
     private volatile boolean endsWithConnection;
 
@@ -24,12 +23,8 @@
         this.listener = listener;
     }
 
-    void markCancelled() {
-        cancelled = true;
-    }
-
-    boolean isCancelled() {
-        return cancelled;
+    void onReusedConnection() {
+        listener.onReusedConnection();
     }
 
     void onRequestBegin() {
--- a/router/src/main/java/org/wigeonferry/router/JettySender.java
+++ b/router/src/main/java/org/wigeonferry/router/JettySender.java
@@ -3,48 +3,61 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.Map;
 import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.util.Promise;
 import org.wigeonferry.core_types.StepException;
 import org.wigeonferry.node_runtime.HttpClients;
-import org.wigeonferry.node_runtime.OverheadLimit;
+import org.wigeonferry.node_runtime.NodeMetrics;
+import org.wigeonferry.router.connections.ConnectionRegistry;
+import org.wigeonferry.routing.Incarnation;
 
 /**
- * Opens a new connection for each request.
+ * Sends requests to upstreams, on a new connection each unless connections are kept.
  *
- * <p>A connection that served another request could be closing, or could still deliver a late
- * response to that one. On a new connection neither can happen, and it is known whether any byte of
- * the request may have been written. Thread safe.
+ * <p>On a connection that served another request, a late response to that one may still arrive, and
+ * the connection could be closing. Requests that must not be repeated therefore always get a new
+ * connection, on which it is known whether any byte of the request may have been written. Thread
+ * safe.
  */
 public final class JettySender implements UpstreamSender, AutoCloseable {
     private static final int MAX_RESPONSE_HEADER_BYTES = 32 << 10;
 
     private final HttpClient client;
+    private final JettyConnections connections;
 
-    /** Starts the client; a request whose connection is not open in time counts as not sent. */
-    public JettySender(Duration connectTimeout) throws StepException {
+    /**
+     * Starts the client; a request whose connection is not open in time counts as not sent.
+     *
+     * @param idleConnections largest number of idle connections to keep to each upstream
+     */
+    public JettySender(Duration connectTimeout, int idleConnections, NodeMetrics metrics)
+            throws StepException {
         client = HttpClients.startHttp1("upstreams", connectTimeout);
         client.setIdleTimeout(0);
         client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
+        connections =
+                new JettyConnections(client, new ConnectionRegistry<>(idleConnections), metrics);
     }
 
     @Override
     public Runnable send(UpstreamRequest upstreamRequest, SendListener listener) {
         Request request = newJettyRequest(upstreamRequest);
-        JettySendCallbacks callbacks = new JettySendCallbacks(listener);
-        AtomicReference<Runnable> cancel = new AtomicReference<>(callbacks::markCancelled);
-        client.resolveDestination(request)
-                .newConnection(
-                        Promise.from(
-                                connection -> start(request, connection, callbacks, cancel),
-                                failure -> callbacks.onNotSent(failure)));
-        return () -> cancel.get().run();
+        JettySend send = new JettySend(connections, upstreamRequest, request, listener);
+        send.start();
+        return send::cancel;
+    }
+
+    /**
+     * Replaces the largest numbers of connections to the upstreams that may be used, and closes
+     * idle connections beyond them or past their time. To be called several times a second.
+     */
+    public void updateConnections(Map<Incarnation, Integer> limits) {
+        connections.setLimits(limits);
+        connections.closeExpired();
     }
 
     @Override
@@ -52,42 +65,17 @@
         client.stop();
     }
 
-    private static void start(
-            Request request,
-            Connection connection,
-            JettySendCallbacks callbacks,
-            AtomicReference<Runnable> cancel) {
-        cancel.set(connection::close);
-        if (callbacks.isCancelled()) {
-            connection.close();
-            callbacks.onNotSent(
-                    new IllegalStateException("send cancelled before the connection was open"));
-            return;
-        }
-        OverheadLimit overheadLimit = HttpClients.limitOverhead(connection);
-        request.onRequestBegin(begun -> callbacks.onRequestBegin())
-                .onResponseHeaders(callbacks::onHeaders)
-                .onResponseContentAsync(
-                        (response, chunk, demander) -> {
-                            overheadLimit.onContent(chunk.remaining());
-                            callbacks.onContent(response, chunk, demander);
-                        })
-                .onResponseSuccess(response -> HttpClients.stopUpload(connection));
-        connection.send(
-                request,
-                result -> {
-                    connection.close();
-                    callbacks.onComplete(result);
-                });
-    }
-
     private Request newJettyRequest(UpstreamRequest upstreamRequest) {
+        boolean isKept =
+                connections.keepsConnections() && upstreamRequest.connectionUse().mayBeKept();
         Request request = newRequestFor(upstreamRequest).method(upstreamRequest.method());
         request.headers(
                 fields -> {
                     fields.clear();
                     fields.add(upstreamRequest.fields());
-                    fields.put(new HttpField(HttpHeader.CONNECTION, "close"));
+                    if (!isKept) {
+                        fields.put(new HttpField(HttpHeader.CONNECTION, "close"));
+                    }
                 });
         if (upstreamRequest.body().length > 0) {
             request.body(
--- a/router/src/main/java/org/wigeonferry/router/ResponseHead.java
+++ b/router/src/main/java/org/wigeonferry/router/ResponseHead.java
@@ -68,7 +68,8 @@
         return !misdirected && !namesAnotherRequest(id);
     }
 
-    private boolean namesAnotherRequest(String id) {
+    /** Whether the head is of a response to another request than the one with this id. */
+    boolean namesAnotherRequest(String id) {
         return requestId.filter(named -> !named.equals(id)).isPresent();
     }
 
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
+import org.wigeonferry.router.connections.ConnectionUse;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.PlacementResult;
 import org.wigeonferry.routing.RefusalCause;
@@ -179,7 +180,10 @@
                         .encode(caller.fields(), send, send.timeLeft(), lastEventIdIfStreaming());
         routedSend.start(
                 new UpstreamRequest(
+                        send.upstream().incarnation(),
                         send.upstream().address(),
+                        ConnectionUse.of(
+                                job.route().kind(), job.mayRunAgain(), job.wasLostOnReuse()),
                         caller.method(),
                         caller.target(),
                         fields,
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
-import org.wigeonferry.routing.Route;
 import org.wigeonferry.routing.Send;
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
@@ -25,18 +24,6 @@
     /** Bytes of a response that is not a stream which count as progress after its first ones. */
     private static final int MIN_PROGRESS_BYTES = 256;
 
-    /**
-     * A response that is not a stream is given up, and the request resent elsewhere, if it makes no
-     * progress for this share of the latency objective.
-     */
-    private static final double RESPONSE_TIMEOUT_SHARE = 0.9;
-
-    /**
-     * Share of the latency objective to wait for the first bytes of a stream before resending
-     * elsewhere.
-     */
-    private static final double FIRST_EVENT_TIMEOUT_SHARE = 0.5;
-
     /** Interval at which it is checked again whether a resend is allowed. */
     private static final Duration SILENCE_RECHECK_INTERVAL = Duration.ofMillis(300);
 
@@ -52,6 +39,7 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile Optional<ResponseHead> responseHead = Optional.empty();
     private volatile Optional<MessageFraming> responseFraming = Optional.empty();
+    private volatile boolean reusedConnection;
     private volatile Runnable closeConnection = () -> {};
     private volatile Optional<Throwable> connectionFailure = Optional.empty();
     private volatile long firstByteNanos;
@@ -82,9 +70,19 @@
         finish(outcome, Optional.empty());
     }
 
+    @Override
+    public void onReusedConnection() {
+        reusedConnection = true;
+    }
+
     @Override
     public void onHeaders(int status, HttpFields fields) {
         ResponseHead decodedHead = context.protocol().responseHeadDecoder().decode(status, fields);
+        String requestId = call.job().request().id();
+        if (reusedConnection && decodedHead.namesAnotherRequest(requestId)) {
+            finish(SendOutcome.LOST_ON_REUSE, Optional.empty());
+            return;
+        }
         responseFraming = Optional.of(MessageFraming.of(fields));
         responseHead = Optional.of(decodedHead);
         long nowNanos = context.control().nanoTime();
@@ -93,7 +91,6 @@
                         () ->
                                 context.state()
                                         .onResponseHeaders(send, decodedHead.load(), nowNanos));
-        String requestId = call.job().request().id();
         if (decodedHead.isFromAddressedUpstream(requestId)) {
             call.onAnnouncement(send, decodedHead.announcement());
         }
@@ -109,10 +106,10 @@
 
     @Override
     public void onBody(ByteBuffer bytes) {
-        ResponseHead decodedHead = responseHead.orElseThrow();
         if (ended.get()) {
             return;
         }
+        ResponseHead decodedHead = responseHead.orElseThrow();
         recordFirstByte();
         if (!isStreamed(decodedHead)) {
             collect(bytes);
@@ -123,6 +120,9 @@
 
     @Override
     public void onComplete() {
+        if (ended.get()) {
+            return;
+        }
         ResponseHead decodedHead = responseHead.orElseThrow();
         if (isStreamed(decodedHead)) {
             boolean complete = !scanner.hasIncompleteEvent() && scanner.eventCount() > 0;
@@ -137,6 +137,10 @@
     @Override
     public void onFailure(boolean mayHaveBeenSent, Throwable cause) {
         connectionFailure = Optional.of(cause);
+        if (reusedConnection && responseHead.isEmpty()) {
+            finish(SendOutcome.LOST_ON_REUSE, Optional.empty());
+            return;
+        }
         finish(mayHaveBeenSent ? SendOutcome.BROKEN : SendOutcome.NOT_SENT, Optional.empty());
     }
 
@@ -184,7 +188,8 @@
         long nowNanos = context.control().nanoTime();
         long lastActivityNanos = firstByteNanos == 0 ? send.startNanos() : lastProgressNanos;
         Duration silence = Duration.ofNanos(nowNanos - lastActivityNanos);
-        Duration timeLeft = silenceTimeout().minus(silence);
+        Duration timeLeft =
+                SilenceTimeout.of(call.job().route(), firstByteNanos != 0).minus(silence);
         if (!timeLeft.isNegative() && !timeLeft.isZero()) {
             context.control().schedule(timeLeft, this::checkSilence);
         } else if (context.state()
@@ -208,20 +213,6 @@
         context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
     }
 
-    private Duration silenceTimeout() {
-        Route route = call.job().route();
-        if (!route.kind().isStreamed()) {
-            return shareOf(route.latencyObjective(), RESPONSE_TIMEOUT_SHARE);
-        }
-        return firstByteNanos == 0
-                ? shareOf(route.latencyObjective(), FIRST_EVENT_TIMEOUT_SHARE)
-                : route.maxEventGap();
-    }
-
-    private static Duration shareOf(Duration time, double share) {
-        return Duration.ofNanos((long) (time.toNanos() * share));
-    }
-
     private boolean isStreamed(ResponseHead decodedHead) {
         return call.job().route().kind().isStreamed() && decodedHead.isSuccess();
     }
--- a/router/src/main/java/org/wigeonferry/router/SendListener.java
+++ b/router/src/main/java/org/wigeonferry/router/SendListener.java
@@ -10,6 +10,12 @@
  * comes last.
  */
 public interface SendListener {
+    /**
+     * Called before the request is sent on a connection that has served other requests: responses
+     * to those may still arrive on it.
+     */
+    void onReusedConnection();
+
     /** Called with the status and header fields of the response. */
     void onHeaders(int status, HttpFields fields);
 
--- a/router/src/main/java/org/wigeonferry/router/UpstreamRequest.java
+++ b/router/src/main/java/org/wigeonferry/router/UpstreamRequest.java
@@ -2,6 +2,8 @@
 
 import org.eclipse.jetty.http.HttpFields;
 import org.wigeonferry.core_types.HostAddress;
+import org.wigeonferry.router.connections.ConnectionUse;
+import org.wigeonferry.routing.Incarnation;
 
 /**
  * A request as it is sent to one upstream.
@@ -11,4 +13,10 @@
  * @param target path and query as the caller wrote them
  */
 public record UpstreamRequest(
-        HostAddress address, String method, String target, HttpFields fields, byte[] body) {}
+        Incarnation upstream,
+        HostAddress address,
+        ConnectionUse connectionUse,
+        String method,
+        String target,
+        HttpFields fields,
+        byte[] body) {}
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -26,17 +26,23 @@
 /** A router over real sockets, with scripted upstreams. */
 final class RouterHarness implements AutoCloseable {
     private static final String LOOPBACK = "127.0.0.1";
+    private static final int MAX_CONNECTIONS = 10;
 
     private final ControlThread control = new ControlThread("control");
     private final NodeMetrics metrics = new NodeMetrics();
+    private final RouterControl router;
     private final JettySender sender;
     private final RouterServer server;
     private final int port;
 
     RouterHarness(List<ScriptedUpstream> upstreams) throws Exception {
-        sender = new JettySender(Duration.ofMillis(500));
+        this(0, upstreams.stream().map(ScriptedUpstream::port).toList());
+    }
+
+    private RouterHarness(int idleConnections, List<Integer> upstreamPorts) throws Exception {
+        sender = new JettySender(Duration.ofMillis(500), idleConnections, metrics);
         RoutingState state = RoutingStates.empty();
-        RouterControl router =
+        router =
                 new RouterControl(
                         "router",
                         control,
@@ -63,15 +69,59 @@
                         () -> {
                             router.onConfigurationConfirmed(
                                     System.nanoTime(), System.currentTimeMillis());
-                            router.onConfiguration(config());
-                            for (int i = 0; i < upstreams.size(); i++) {
-                                router.onUpstream(upstream(i, upstreams.get(i).port()));
+                            router.onConfiguration(config(1, MAX_CONNECTIONS));
+                            for (int i = 0; i < upstreamPorts.size(); i++) {
+                                router.onUpstream(upstream(i, upstreamPorts.get(i), 1));
                             }
+                            if (idleConnections > 0) {
+                                state.limitConnections();
+                                updateConnections();
+                            }
+                            return true;
+                        })
+                .get();
+        if (idleConnections > 0) {
+            control.scheduleWithFixedDelay(Duration.ofMillis(20), this::updateConnections);
+        }
+    }
+
+    /** A router that keeps connections to upstreams at these ports. */
+    static RouterHarness keepingConnections(int idleConnections, Integer... upstreamPorts)
+            throws Exception {
+        return new RouterHarness(idleConnections, List.of(upstreamPorts));
+    }
+
+    private void updateConnections() {
+        sender.updateConnections(router.state().connectionShares());
+    }
+
+    /** Registers an incarnation of an upstream. */
+    void register(int number, int upstreamPort, long startMillis) throws Exception {
+        control.submit(
+                        () -> {
+                            router.onUpstream(upstream(number, upstreamPort, startMillis));
+                            updateConnections();
+                            return true;
+                        })
+                .get();
+    }
+
+    /** Sets the number of connections that each upstream accepts. */
+    void setMaxConnections(int maxConnections) throws Exception {
+        control.submit(
+                        () -> {
+                            router.onConfiguration(config(2, maxConnections));
+                            updateConnections();
                             return true;
                         })
                 .get();
     }
 
+    /** Value of a counter; 0 if nothing was counted. */
+    long counter(String name) {
+        return metrics.registry().counter(name).getCount();
+    }
+
     RouterServer server() {
         return server;
     }
@@ -89,11 +139,18 @@
 
     static void sendRequest(Socket socket, String method, String path, String body)
             throws IOException {
+        sendRequest(socket, method, path, "id-1", body);
+    }
+
+    private static void sendRequest(
+            Socket socket, String method, String path, String id, String body) throws IOException {
         String head =
                 method
                         + " "
                         + path
-                        + " HTTP/1.1\r\nHost: example\r\nId: id-1\r\nContent-Length: "
+                        + " HTTP/1.1\r\nHost: example\r\nId: "
+                        + id
+                        + "\r\nContent-Length: "
                         + body.length()
                         + "\r\n\r\n";
         OutputStream out = socket.getOutputStream();
@@ -105,8 +162,13 @@
      * Sends one request on a new connection and returns the response; fails after 8 s of silence.
      */
     String exchange(String method, String path, String body) throws IOException {
+        return exchangeWithId(method, path, "id-1", body);
+    }
+
+    /** As {@link #exchange}, with this id of the request. */
+    String exchangeWithId(String method, String path, String id, String body) throws IOException {
         try (Socket socket = connect()) {
-            sendRequest(socket, method, path, body);
+            sendRequest(socket, method, path, id, body);
             return readResponse(socket);
         }
     }
@@ -141,9 +203,11 @@
         return text.length() == head + 4 + count;
     }
 
-    private static RoutingConfig config() {
-        return RoutingConfig.builder(1)
-                .addService(new ServiceTraits("service", 10, Duration.ZERO, 0, Optional.empty()))
+    private static RoutingConfig config(long revision, int maxConnections) {
+        return RoutingConfig.builder(revision)
+                .addService(
+                        new ServiceTraits(
+                                "service", maxConnections, Duration.ZERO, 0, Optional.empty()))
                 .addRoute(route("safe", RequestKind.SAFE))
                 .addRoute(route("unsafe", RequestKind.UNSAFE))
                 .addRoute(route("stream", RequestKind.RESUMABLE_STREAM))
@@ -172,9 +236,9 @@
                 List.of(new WeightedService("service", 1)));
     }
 
-    private static UpstreamInstance upstream(int number, int port) {
+    private static UpstreamInstance upstream(int number, int port, long startMillis) {
         return new UpstreamInstance(
-                new Incarnation("u" + number, 1),
+                new Incarnation("u" + number, startMillis),
                 new HostAddress(LOOPBACK, port),
                 "service",
                 number == 0 ? "zone" : "other",
--- a/routing/src/main/java/org/wigeonferry/routing/Job.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Job.java
@@ -9,8 +9,8 @@
  * A client request from its admission to its end.
  *
  * <p>Invariant: {@link #possibleRuns} counts the sends after which an upstream may have run the
- * request. Changed on the control thread only; the final fields and {@link #possibleRuns} may be
- * read on any thread.
+ * request. Changed on the control thread only; the final fields, {@link #possibleRuns} and {@link
+ * #wasLostOnReuse} may be read on any thread.
  */
 public final class Job {
     private final RoutedRequest request;
@@ -22,6 +22,7 @@
     private final Set<Incarnation> sentTo = new HashSet<>();
     private boolean lowConfidenceAnswerDropped;
     private final AtomicInteger possibleRuns = new AtomicInteger();
+    private volatile boolean lostOnReuse;
     private int sends;
 
     Job(
@@ -72,8 +73,13 @@
         return possibleRuns.get();
     }
 
+    /** Whether a send was lost on a connection that had served other requests. */
+    public boolean wasLostOnReuse() {
+        return lostOnReuse;
+    }
+
     /** Whether another send is allowed: no upstream may have run it, or it may run again. */
-    boolean mayRunAgain() {
+    public boolean mayRunAgain() {
         if (possibleRuns() == 0) {
             return true;
         }
@@ -86,12 +92,22 @@
     }
 
     /**
-     * Records an answer dropped for low confidence, and allows another send to the same upstream,
-     * which may also run another model.
+     * Records how a send ended. Another send to the same upstream is allowed after an answer
+     * dropped for low confidence, as it may also run another model, and after a loss that says
+     * nothing about the upstream.
      */
-    void onLowConfidenceAnswer(Incarnation incarnation) {
-        lowConfidenceAnswerDropped = true;
-        sentTo.remove(incarnation);
+    void onSendEnd(Incarnation upstream, SendOutcome outcome) {
+        if (outcome.provedNotRun()) {
+            possibleRuns.decrementAndGet();
+        }
+        if (outcome == SendOutcome.DOUBTED) {
+            lowConfidenceAnswerDropped = true;
+            sentTo.remove(upstream);
+        }
+        if (outcome == SendOutcome.LOST_ON_REUSE) {
+            lostOnReuse = true;
+            sentTo.remove(upstream);
+        }
     }
 
     boolean wasSentBefore() {
@@ -113,11 +129,6 @@
         possibleRuns.incrementAndGet();
     }
 
-    /** Subtracts a send after which the request provably did not run. */
-    void onSendProvedNotRun() {
-        possibleRuns.decrementAndGet();
-    }
-
     /** The caller's session id, or else the id of the last prompt part, if there is one. */
     Optional<String> sessionId() {
         if (request.sessionId().isPresent()) {
--- a/routing/src/main/java/org/wigeonferry/routing/PlacementRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PlacementRules.java
@@ -14,6 +14,7 @@
     private final RoutingLimits limits;
     private final UpstreamNotices notices;
     private final Set<String> disabledZones = new HashSet<>();
+    private boolean limitsConnections;
 
     PlacementRules(RoutingLimits limits, UpstreamNotices notices) {
         this.limits = limits;
@@ -34,8 +35,22 @@
         return Set.copyOf(disabledZones);
     }
 
+    /** Limits the sends at each upstream to this router's share of its connections. */
+    void limitConnections() {
+        limitsConnections = true;
+    }
+
     /** A rule that allows what all rules allow. */
     UpstreamRule all(Optional<RoutingConfig> config, LiveRouters routers) {
+        UpstreamRule rule = allButConnections(config, routers);
+        return limitsConnections
+                ? rule.and(
+                        UpstreamRules.withinConnections(
+                                target -> ConnectionShares.shareOf(target, config, routers)))
+                : rule;
+    }
+
+    private UpstreamRule allButConnections(Optional<RoutingConfig> config, LiveRouters routers) {
         return UpstreamRules.SERVES_JOB
                 .and(UpstreamRules.NOT_DRAINING)
                 .and(notices.rule(routers))
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -87,6 +87,16 @@
         sendListener = listener;
     }
 
+    /** Limits the sends at each upstream to this router's share of its connections. */
+    public void limitConnections() {
+        placementRules.limitConnections();
+    }
+
+    /** This router's share of the connections to each upstream that is not draining. */
+    public Map<Incarnation, Integer> connectionShares() {
+        return ConnectionShares.of(upstreams.upstreamStates(), config, routers);
+    }
+
     /** What this router has under way, by upstream. */
     public List<OwnLoad> ownLoads() {
         return upstreams.upstreamStates().stream()
@@ -238,12 +248,7 @@
                     .waits(send.model())
                     .recordGivenUp(elapsed.minus(Slowness.timeToProcess(send)));
         }
-        if (report.outcome().provedNotRun()) {
-            job.onSendProvedNotRun();
-        }
-        if (report.outcome() == SendOutcome.DOUBTED) {
-            job.onLowConfidenceAnswer(send.upstream().incarnation());
-        }
+        job.onSendEnd(send.upstream().incarnation(), report.outcome());
         if (report.outcome() == SendOutcome.MISDIRECTED) {
             upstreams.remove(send.upstream().id(), nowNanos);
         }
--- a/routing/src/main/java/org/wigeonferry/routing/SendOutcome.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SendOutcome.java
@@ -22,6 +22,11 @@
     SILENT(false, true),
     /** Dropped because the model reported too little confidence in its answer. */
     DOUBTED(false, false),
+    /**
+     * A connection that had served other requests ended, or a late response to one of them came,
+     * before the response. It says nothing about the upstream.
+     */
+    LOST_ON_REUSE(false, false),
     /** Cancelled for a reason other than the upstream, such as a caller that disconnected. */
     ABANDONED(false, false);
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamRules.java
@@ -41,6 +41,16 @@
         return (upstream, job, nowNanos) -> !zones.contains(upstream.instance().zone());
     }
 
+    /**
+     * Limits the sends of this router that an upstream runs, as each has a connection.
+     *
+     * @param maxSends this router's share of an upstream's connections
+     */
+    static UpstreamRule withinConnections(ToIntFunction<UpstreamInstance> maxSends) {
+        return (upstream, job, nowNanos) ->
+                upstream.runningSends() < maxSends.applyAsInt(upstream.instance());
+    }
+
     /**
      * Limits the requests that this router sends to a cold upstream within a second.
      *
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/ScriptedUpstream.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/ScriptedUpstream.java
@@ -1,14 +1,10 @@
 package org.wigeonferry.stand_ins;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,7 +17,6 @@
  */
 public final class ScriptedUpstream implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ScriptedUpstream.class);
-    private static final String HEAD_END = "\r\n\r\n";
 
     private static final int SMALL_BUFFER_BYTES = 16 << 10;
 
@@ -72,9 +67,9 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            String head = head(socket.getInputStream());
+            String head = RequestReader.readHead(socket.getInputStream());
             if (readsBodies) {
-                socket.getInputStream().readNBytes(length(head));
+                RequestReader.readBody(head, socket.getInputStream());
             }
             requests.add(head);
             script.answer(head, socket);
@@ -83,27 +78,6 @@
         }
     }
 
-    private static String head(InputStream in) throws IOException {
-        ByteArrayOutputStream head = new ByteArrayOutputStream();
-        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith(HEAD_END)) {
-            int next = in.read();
-            if (next < 0) {
-                throw new IOException("closed within the head");
-            }
-            head.write(next);
-        }
-        return head.toString(StandardCharsets.ISO_8859_1);
-    }
-
-    private static int length(String head) {
-        for (String line : head.split("\r\n")) {
-            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
-                return Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
-            }
-        }
-        return 0;
-    }
-
     private static Thread daemon(Runnable task) {
         Thread thread = new Thread(task, "scripted-upstream");
         thread.setDaemon(true);
