--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/HttpClients.java
@@ -43,13 +43,46 @@
     }
 
     /**
-     * Bounds what the peer of an HTTP/1.1 connection may send besides content.
+     * Prepares an HTTP/1.1 connection for a request, and bounds what the peer may send besides
+     * content.
      *
      * @return the limit, which has to be told of the content
      */
-    public static OverheadLimit limitOverhead(Connection connection) {
+    public static OverheadLimit beginExchange(Connection connection) {
+        return endPoint(connection).beginExchange();
+    }
+
+    /** Closes an HTTP/1.1 connection without requests as soon as the peer sends anything on it. */
+    public static void refuseBytes(Connection connection) {
+        endPoint(connection).refuseBytes();
+    }
+
+    /**
+     * Whether the peer has neither closed an HTTP/1.1 connection without requests nor sent anything
+     * on it; otherwise it has to be closed.
+     */
+    public static boolean isQuiet(Connection connection) {
+        return !connection.isClosed() && endPoint(connection).isQuiet();
+    }
+
+    /** Runs an action when an HTTP/1.1 connection has been closed, by either side. */
+    public static void onClosed(Connection connection, Runnable action) {
+        ((org.eclipse.jetty.io.Connection) connection).addEventListener(new ClosedListener(action));
+    }
+
+    /**
+     * Stops the upload of a request on an HTTP/1.1 connection when its response has ended, as the
+     * peer may never read the rest. The request fails unless all of it was written before.
+     */
+    public static void stopUpload(Connection connection) {
+        if (endPoint(connection).endResponse()) {
+            connection.close();
+        }
+    }
+
+    private static ResetDetectingEndPoint endPoint(Connection connection) {
         EndPoint endPoint = ((org.eclipse.jetty.io.Connection) connection).getEndPoint();
-        return ((ResetDetectingEndPoint) endPoint).limitOverhead();
+        return (ResetDetectingEndPoint) endPoint;
     }
 
     private static HttpClient start(HttpClient client, String name, Duration connectTimeout)
--- a/router/src/main/java/org/wigeonferry/router/RoutedCall.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedCall.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.eclipse.jetty.http.HttpFields;
 import org.wigeonferry.routing.Job;
 import org.wigeonferry.routing.PlacementResult;
 import org.wigeonferry.routing.RefusalCause;
@@ -210,21 +209,9 @@
     private void run(RoutedSend routedSend) {
         Send send = routedSend.send();
         log.logPlaced(send);
-        HttpFields fields =
-                context.protocol()
-                        .upstreamHeadersEncoder()
-                        .encode(
-                                caller.fields(),
-                                send,
-                                send.timeLeft(),
-                                sends.lastEventIdIfStreaming());
         routedSend.start(
-                new UpstreamRequest(
-                        send.upstream().address(),
-                        caller.method(),
-                        caller.target(),
-                        fields,
-                        caller.body()));
+                UpstreamRequests.of(
+                        context.protocol(), job, caller, send, sends.lastEventIdIfStreaming()));
     }
 
     private void giveUp(Refused refused) {
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -39,17 +39,17 @@
     private final ResponseBuffer body;
     private volatile Optional<ResponseHead> responseHead = Optional.empty();
     private volatile Optional<MessageFraming> responseFraming = Optional.empty();
+    private volatile boolean reusedConnection;
     private volatile Runnable closeConnection = () -> {};
     private volatile Optional<Throwable> connectionFailure = Optional.empty();
-    private volatile long firstByteNanos;
-    private volatile long lastProgressNanos;
-    private volatile int completeEvents;
+    private final SendProgress progress;
     private int bytesAtLastProgress;
 
     RoutedSend(CallContext context, RoutedCall call, Send send) {
         this.context = context;
         this.call = call;
         this.send = send;
+        progress = new SendProgress(send.startNanos());
         reservation = new BufferReservation(context.responseBudget());
         body = new ResponseBuffer(MAX_RESPONSE_BYTES, reservation);
     }
@@ -73,9 +73,19 @@
         finish(outcome, Optional.empty());
     }
 
+    @Override
+    public void onReusedConnection() {
+        reusedConnection = true;
+    }
+
     @Override
     public void onHeaders(int status, HttpFields fields) {
         ResponseHead decodedHead = context.protocol().responseHeadDecoder().decode(status, fields);
+        String requestId = call.job().request().id();
+        if (reusedConnection && decodedHead.namesAnotherRequest(requestId)) {
+            finish(SendOutcome.LOST_ON_REUSE, Optional.empty());
+            return;
+        }
         if (!tryRecordHead(decodedHead, fields)) {
             return;
         }
@@ -86,7 +96,6 @@
                         () ->
                                 context.state()
                                         .onResponseHeaders(send, decodedHead.load(), nowNanos));
-        String requestId = call.job().request().id();
         if (decodedHead.isFromAddressedUpstream(requestId)) {
             call.onAnnouncement(send, decodedHead.announcement());
         }
@@ -107,7 +116,7 @@
             return;
         }
         ResponseHead decodedHead = responseHead.orElseThrow();
-        recordFirstByte();
+        progress.onBytes(context.control().nanoTime());
         if (!isStreamed(decodedHead)) {
             collect(bytes);
             return;
@@ -134,24 +143,21 @@
     @Override
     public void onFailure(boolean mayHaveBeenSent, Throwable cause) {
         connectionFailure = Optional.of(cause);
+        if (reusedConnection && responseHead.isEmpty()) {
+            finish(SendOutcome.LOST_ON_REUSE, Optional.empty());
+            return;
+        }
         finish(mayHaveBeenSent ? SendOutcome.BROKEN : SendOutcome.NOT_SENT, Optional.empty());
     }
 
     /** Returns a report of the send with this outcome and what was measured so far. */
     SendReport toReport(SendOutcome outcome) {
-        Optional<Duration> timeToFirstByte =
-                firstByteNanos == 0
-                        ? Optional.empty()
-                        : Optional.of(Duration.ofNanos(firstByteNanos - send.startNanos()));
-        Optional<Duration> meanEventGap =
-                scanner.eventCount() < 2
-                        ? Optional.empty()
-                        : Optional.of(
-                                Duration.ofNanos(
-                                        (lastProgressNanos - firstByteNanos)
-                                                / (scanner.eventCount() - 1)));
         return new SendReport(
-                send, outcome, responseHead.isPresent(), timeToFirstByte, meanEventGap);
+                send,
+                outcome,
+                responseHead.isPresent(),
+                progress.timeToFirstByte(),
+                progress.meanEventGap());
     }
 
     /** What was sent, and where. */
@@ -189,14 +195,12 @@
             return;
         }
         long nowNanos = context.control().nanoTime();
-        long lastActivityNanos = firstByteNanos == 0 ? send.startNanos() : lastProgressNanos;
-        Duration silence = Duration.ofNanos(nowNanos - lastActivityNanos);
-        Duration timeLeft =
-                SilenceTimeouts.of(call.job().route(), firstByteNanos != 0).minus(silence);
+        boolean begun = progress.hasBegun();
+        Duration silence = progress.silence(nowNanos);
+        Duration timeLeft = SilenceTimeouts.of(call.job().route(), begun).minus(silence);
         if (!timeLeft.isNegative() && !timeLeft.isZero()) {
             context.control().schedule(timeLeft, this::checkSilence);
-        } else if (context.state()
-                .mayResend(call.job(), send, firstByteNanos != 0, silence, nowNanos)) {
+        } else if (context.state().mayResend(call.job(), send, begun, silence, nowNanos)) {
             context.trafficExecutor().execute(() -> cancel(SendOutcome.SILENT));
         } else {
             context.control().schedule(SILENCE_RECHECK_INTERVAL, this::checkSilence);
@@ -208,11 +212,11 @@
         if (ended.get()) {
             return;
         }
-        if (completeEvents > 0) {
-            long nanos = context.control().nanoTime() - firstByteNanos;
-            Duration gap = Duration.ofNanos(nanos / completeEvents);
-            context.state().onStreamProgress(send, gap, lastProgressNanos);
-        }
+        progress.pace(context.control().nanoTime())
+                .ifPresent(
+                        gap ->
+                                context.state()
+                                        .onStreamProgress(send, gap, progress.lastProgressNanos()));
         context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
     }
 
@@ -229,23 +233,10 @@
                 && !call.isStreaming();
     }
 
-    private void recordFirstByte() {
-        if (firstByteNanos == 0) {
-            recordProgress();
-            firstByteNanos = lastProgressNanos;
-        }
-    }
-
-    /** Single bytes of an event or a response are no progress, as a stalled upstream may drip. */
-    private void recordProgress() {
-        lastProgressNanos = context.control().nanoTime();
-    }
-
     private void scan(ByteBuffer bytes, ResponseHead decodedHead) {
         ByteBuffer events = scanner.append(bytes);
         if (events.hasRemaining()) {
-            recordProgress();
-            completeEvents = scanner.eventCount();
+            progress.onEvents(scanner.eventCount(), context.control().nanoTime());
             call.forwardEvents(this, decodedHead, scanner, events);
         }
         endIfTooLarge(scanner.incompleteEventBytes());
@@ -259,7 +250,7 @@
         int newSize = body.size();
         if (newSize - bytesAtLastProgress >= MIN_PROGRESS_BYTES) {
             bytesAtLastProgress = newSize;
-            recordProgress();
+            progress.onProgress(context.control().nanoTime());
         }
     }
 
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -29,11 +29,12 @@
 /** A router over real sockets, with scripted upstreams. */
 final class RouterHarness implements AutoCloseable {
     private static final String LOOPBACK = "127.0.0.1";
+    private static final int MAX_CONNECTIONS = 10;
 
     private final ControlThread control = new ControlThread("control");
     private final NodeMetrics metrics = new NodeMetrics();
-    private final JettySender sender;
     private final RouterControl router;
+    private final JettySender sender;
     private final RouterServer server;
     private final int port;
 
@@ -47,17 +48,20 @@
      * @param setUp changes the routing state before the router starts
      */
     RouterHarness(List<ScriptedUpstream> upstreams, Consumer<RoutingState> setUp) throws Exception {
-        this(upstreams, RoutingStates.empty(), setUp);
+        this(0, ports(upstreams), RoutingStates.empty(), setUp);
     }
 
     RouterHarness(List<ScriptedUpstream> upstreams, RoutingState state) throws Exception {
-        this(upstreams, state, unchanged -> {});
+        this(0, ports(upstreams), state, unchanged -> {});
     }
 
     private RouterHarness(
-            List<ScriptedUpstream> upstreams, RoutingState state, Consumer<RoutingState> setUp)
+            int idleConnections,
+            List<Integer> upstreamPorts,
+            RoutingState state,
+            Consumer<RoutingState> setUp)
             throws Exception {
-        sender = new JettySender(Duration.ofMillis(500));
+        sender = new JettySender(Duration.ofMillis(500), idleConnections, metrics);
         setUp.accept(state);
         router =
                 new RouterControl(
@@ -87,13 +91,62 @@
                         () -> {
                             router.onConfigurationConfirmed(
                                     System.nanoTime(), System.currentTimeMillis());
-                            router.onConfiguration(config());
-                            for (int i = 0; i < upstreams.size(); i++) {
-                                router.onUpstream(upstream(i, "u" + i, upstreams.get(i).port()));
+                            router.onConfiguration(config(1, MAX_CONNECTIONS));
+                            for (int i = 0; i < upstreamPorts.size(); i++) {
+                                router.onUpstream(upstream(i, upstreamPorts.get(i), 1));
+                            }
+                            if (idleConnections > 0) {
+                                state.limitConnections();
+                                updateConnections();
                             }
                             return true;
                         })
                 .get();
+        if (idleConnections > 0) {
+            control.scheduleWithFixedDelay(Duration.ofMillis(20), this::updateConnections);
+        }
+    }
+
+    /** A router that keeps connections to upstreams at these ports. */
+    static RouterHarness keepingConnections(int idleConnections, Integer... upstreamPorts)
+            throws Exception {
+        return new RouterHarness(
+                idleConnections, List.of(upstreamPorts), RoutingStates.empty(), unchanged -> {});
+    }
+
+    private static List<Integer> ports(List<ScriptedUpstream> upstreams) {
+        return upstreams.stream().map(ScriptedUpstream::port).toList();
+    }
+
+    private void updateConnections() {
+        sender.updateConnections(router.state().connectionShares());
+    }
+
+    /** Registers an incarnation of an upstream. */
+    void register(int number, int upstreamPort, long startMillis) throws Exception {
+        control.submit(
+                        () -> {
+                            router.onUpstream(upstream(number, upstreamPort, startMillis));
+                            updateConnections();
+                            return true;
+                        })
+                .get();
+    }
+
+    /** Sets the number of connections that each upstream accepts. */
+    void setMaxConnections(int maxConnections) throws Exception {
+        control.submit(
+                        () -> {
+                            router.onConfiguration(config(2, maxConnections));
+                            updateConnections();
+                            return true;
+                        })
+                .get();
+    }
+
+    /** Value of a counter; 0 if nothing was counted. */
+    long counter(String name) {
+        return metrics.registry().counter(name).getCount();
     }
 
     RouterServer server() {
@@ -138,11 +191,18 @@
 
     static void sendRequest(Socket socket, String method, String path, String body)
             throws IOException {
+        sendRequest(socket, method, path, "id-1", body);
+    }
+
+    private static void sendRequest(
+            Socket socket, String method, String path, String id, String body) throws IOException {
         String head =
                 method
                         + " "
                         + path
-                        + " HTTP/1.1\r\nHost: example\r\nId: id-1\r\nContent-Length: "
+                        + " HTTP/1.1\r\nHost: example\r\nId: "
+                        + id
+                        + "\r\nContent-Length: "
                         + body.length()
                         + "\r\n\r\n";
         OutputStream out = socket.getOutputStream();
@@ -154,8 +214,13 @@
      * Sends one request on a new connection and returns the response; fails after 8 s of silence.
      */
     String exchange(String method, String path, String body) throws IOException {
+        return exchangeWithId(method, path, "id-1", body);
+    }
+
+    /** As {@link #exchange}, with this id of the request. */
+    String exchangeWithId(String method, String path, String id, String body) throws IOException {
         try (Socket socket = connect()) {
-            sendRequest(socket, method, path, body);
+            sendRequest(socket, method, path, id, body);
             return readResponse(socket);
         }
     }
@@ -190,12 +255,15 @@
         return text.length() == head + 4 + count;
     }
 
-    private static RoutingConfig config() {
-        return RoutingConfig.builder(1)
-                .addService(new ServiceTraits("service", 10, Duration.ZERO, 0, Optional.empty()))
+    private static RoutingConfig config(long revision, int maxConnections) {
+        return RoutingConfig.builder(revision)
+                .addService(
+                        new ServiceTraits(
+                                "service", maxConnections, Duration.ZERO, 0, Optional.empty()))
                 .addRoute(route("safe", RequestKind.SAFE))
                 .addRoute(route("unsafe", RequestKind.UNSAFE))
                 .addRoute(route("stream", RequestKind.RESUMABLE_STREAM))
+                .addRoute(route("stream-once", RequestKind.STREAM))
                 .addRoute(route("other", "//", RequestKind.SAFE))
                 .addRoute(modelRoute())
                 .build();
@@ -240,8 +308,16 @@
 
     /** The first upstream is in the router's zone. */
     static UpstreamInstance upstream(int number, String id, int port) {
+        return upstream(number, new Incarnation(id, 1), port);
+    }
+
+    private static UpstreamInstance upstream(int number, int port, long startMillis) {
+        return upstream(number, new Incarnation("u" + number, startMillis), port);
+    }
+
+    private static UpstreamInstance upstream(int number, Incarnation incarnation, int port) {
         return new UpstreamInstance(
-                new Incarnation(id, 1),
+                incarnation,
                 new HostAddress(LOOPBACK, port),
                 "service",
                 number == 0 ? "zone" : "other",
--- a/routing/src/main/java/org/wigeonferry/routing/Refused.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Refused.java
@@ -17,6 +17,11 @@
         return new Refused(job.possibleRuns() > 0 ? RefusalCause.OUTCOME_UNKNOWN : cause);
     }
 
+    /** The same refusal with the time after which the caller should try again. */
+    Refused withRetryAfter(Optional<Duration> newRetryAfter) {
+        return new Refused(cause, newRetryAfter);
+    }
+
     /** A refusal with the usual time after which the caller should try again. */
     public Refused(RefusalCause cause) {
         this(cause, Optional.empty());
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -31,6 +31,7 @@
     private final ModelChoice modelChoice;
     private final LoadAdmission loadAdmission;
     private final SendEvents sendEvents;
+    private final ResendRule resendRule;
     private final PlacementRules placementRules;
     private final HedgedPlacement hedgedPlacement;
     private final Map<String, ServiceState> services = new HashMap<>();
@@ -73,6 +74,7 @@
                         selector,
                         rollOuts,
                         loadAdmission::hasWaiting);
+        resendRule = new ResendRule(upstreams);
         sendEvents =
                 new SendEvents(upstreams, rollOuts, poisonRegister, loadAdmission, this::stateOf);
     }
@@ -114,6 +116,16 @@
         sendListener = listener;
     }
 
+    /** Limits the sends at each upstream to this router's share of its connections. */
+    public void limitConnections() {
+        placementRules.limitConnections();
+    }
+
+    /** This router's share of the connections to each upstream that is not draining. */
+    public Map<Incarnation, Integer> connectionShares() {
+        return ConnectionShares.of(upstreams.upstreamStates(), config, routers);
+    }
+
     /** What this router has under way, by upstream. */
     public List<OwnLoad> ownLoads() {
         return upstreams.ownLoads();
@@ -182,7 +194,8 @@
             return loadAdmission.waitOrRefuse(job, nowNanos);
         }
         if (choice.upstream().isEmpty()) {
-            return noUpstream(job, nowNanos);
+            return Refused.of(job, RefusalCause.NO_UPSTREAM)
+                    .withRetryAfter(upstreams.soonestReturn(job.service(), routers, nowNanos));
         }
         if (job.wasSentBefore()
                 && !stateOf(job.service())
@@ -228,21 +241,16 @@
     }
 
     /**
-     * Whether a job whose upstream is silent may be sent to another one: it may run again, the
-     * upstream is probably not just busy, and the retry budget and an upstream allow it.
+     * Whether a job whose upstream is silent may be sent to another one.
      *
      * @param silence time since the last progress of the answer, or since the start of the send
      */
     public boolean mayResend(
             Job job, Send send, boolean answerBegun, Duration silence, long nowNanos) {
-        if (!job.route().kind().isRepeatable() || job.possibleRuns() >= job.route().maxRuns()) {
-            return false;
-        }
+        ServiceState service = stateOf(job.service());
         UpstreamRule rule = commonRule().and(loadAdmission::hasSpareRoom);
-        return sendEvents.isGivenUp(job, send, answerBegun, silence, nowNanos)
-                && stateOf(job.service()).hasSpareRetries(nowNanos, routers.assumedCount())
-                && upstreams.upstreamStates().stream()
-                        .anyMatch(s -> !s.isSuspended(nowNanos) && rule.allows(s, job, nowNanos));
+        return service.hasSpareRetries(nowNanos, routers.assumedCount())
+                && resendRule.allows(job, send, service, answerBegun, silence, rule, nowNanos);
     }
 
     /** Records that response headers arrived, which shows that the prompt was processed. */
@@ -260,12 +268,6 @@
         return sendEvents.onSendEnd(job, requestDigest, report, nowNanos);
     }
 
-    private Refused noUpstream(Job job, long nowNanos) {
-        Refused refused = Refused.of(job, RefusalCause.NO_UPSTREAM);
-        return new Refused(
-                refused.cause(), upstreams.soonestReturn(job.service(), routers, nowNanos));
-    }
-
     private ModelSelection selectModel(Job job, long nowNanos) {
         return modelChoice.select(job, stateOf(job.service()), routers.assumedCount(), nowNanos);
     }
--- a/routing/src/main/java/org/wigeonferry/routing/SendEvents.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SendEvents.java
@@ -65,12 +65,7 @@
         Send send = report.send();
         stateOf(send).ifPresent(state -> state.onSendEnd(report, nowNanos));
         serviceOf(send).onSendEnd(report, nowNanos);
-        if (report.outcome().provedNotRun()) {
-            job.onSendProvedNotRun();
-        }
-        if (report.outcome() == SendOutcome.DOUBTED) {
-            job.onLowConfidenceAnswer(send.upstream().incarnation());
-        }
+        job.onSendEnd(send.upstream().incarnation(), report.outcome());
         if (report.outcome() == SendOutcome.MISDIRECTED) {
             upstreams.remove(send.upstream().id(), nowNanos);
         }
@@ -81,18 +76,6 @@
         return newPoison;
     }
 
-    /** Whether a silent send is probably lost, or its stream stalled, rather than just slow. */
-    boolean isGivenUp(Job job, Send send, boolean answerBegun, Duration silence, long nowNanos) {
-        return stateOf(send)
-                .map(
-                        state ->
-                                answerBegun
-                                        ? SilenceRule.isStalled(
-                                                state, job.route(), silence, nowNanos)
-                                        : serviceOf(send).isLost(state, send, silence))
-                .orElse(true);
-    }
-
     private Optional<UpstreamState> stateOf(Send send) {
         return upstreams.state(send.upstream().incarnation());
     }
--- a/routing/src/main/java/org/wigeonferry/routing/SendOutcome.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SendOutcome.java
@@ -24,6 +24,11 @@
     DOUBTED(false, false),
     /** Cancelled because another send of the request was answered first. */
     SUPERSEDED(false, false),
+    /**
+     * A connection that had served other requests ended, or a late response to one of them came,
+     * before the response. It says nothing about the upstream.
+     */
+    LOST_ON_REUSE(false, false),
     /** Cancelled for a reason other than the upstream, such as a caller that disconnected. */
     ABANDONED(false, false);
 
