--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/IngressEndPoint.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/IngressEndPoint.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -18,6 +19,7 @@
  */
 public class IngressEndPoint extends SocketChannelEndPoint {
     private final GuardedConnection connection;
+    private final AtomicBoolean counted = new AtomicBoolean();
 
     /** Creates an end point that is closed by one of the executor's threads if it is too slow. */
     public IngressEndPoint(
@@ -44,6 +46,7 @@
     @Override
     public void onOpen() {
         super.onOpen();
+        counted.set(true);
         if (!connection.ingress().tryAdd(connection)) {
             close(new IOException("too many connections"));
         }
@@ -51,7 +54,9 @@
 
     @Override
     public void onClose(Throwable failure) {
-        connection.ingress().remove(connection);
+        if (counted.compareAndSet(true, false)) {
+            connection.ingress().remove(connection);
+        }
         connection.releaseAll();
         super.onClose(failure);
     }
--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -14,6 +14,7 @@
 import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.node_runtime.ingress.IngressKeys;
+import org.wigeonferry.node_runtime.ingress.IngressLimits;
 import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.RequestKind;
 import org.wigeonferry.routing.Route;
@@ -35,6 +36,10 @@
     private final int port;
 
     RouterHarness(List<ScriptedUpstream> upstreams) throws Exception {
+        this(upstreams, IngressKeys.defaultLimits());
+    }
+
+    RouterHarness(List<ScriptedUpstream> upstreams, IngressLimits limits) throws Exception {
         sender = new JettySender(Duration.ofMillis(500));
         RoutingState state = RoutingStates.empty();
         RouterControl router =
@@ -59,7 +64,7 @@
                         router,
                         sender,
                         TestProtocol.protocol(),
-                        IngressKeys.defaultLimits(),
+                        limits,
                         metrics);
         control.submit(
                         () -> {
@@ -83,6 +88,11 @@
         return (Long) metrics.registry().getGauges().get("response_bytes_reserved").getValue();
     }
 
+    /** Value of a gauge. */
+    long gauge(String name) {
+        return ((Number) metrics.registry().getGauges().get(name).getValue()).longValue();
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(8000);
