--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -16,6 +16,7 @@
 import org.wigeonferry.node_runtime.ControlThread;
 import org.wigeonferry.node_runtime.NodeMetrics;
 import org.wigeonferry.node_runtime.ingress.IngressKeys;
+import org.wigeonferry.node_runtime.ingress.IngressLimits;
 import org.wigeonferry.routing.Incarnation;
 import org.wigeonferry.routing.RequestKind;
 import org.wigeonferry.routing.Route;
@@ -48,18 +49,23 @@
      * @param setUp changes the routing state before the router starts
      */
     RouterHarness(List<ScriptedUpstream> upstreams, Consumer<RoutingState> setUp) throws Exception {
-        this(0, ports(upstreams), RoutingStates.empty(), setUp);
+        this(0, ports(upstreams), RoutingStates.empty(), setUp, IngressKeys.defaultLimits());
     }
 
     RouterHarness(List<ScriptedUpstream> upstreams, RoutingState state) throws Exception {
-        this(0, ports(upstreams), state, unchanged -> {});
+        this(0, ports(upstreams), state, unchanged -> {}, IngressKeys.defaultLimits());
+    }
+
+    RouterHarness(List<ScriptedUpstream> upstreams, IngressLimits limits) throws Exception {
+        this(0, ports(upstreams), RoutingStates.empty(), unchanged -> {}, limits);
     }
 
     private RouterHarness(
             int idleConnections,
             List<Integer> upstreamPorts,
             RoutingState state,
-            Consumer<RoutingState> setUp)
+            Consumer<RoutingState> setUp,
+            IngressLimits limits)
             throws Exception {
         sender = new JettySender(Duration.ofMillis(500), idleConnections, metrics);
         setUp.accept(state);
@@ -85,7 +91,7 @@
                         router,
                         sender,
                         TestProtocol.protocol(),
-                        IngressKeys.defaultLimits(),
+                        limits,
                         metrics);
         control.submit(
                         () -> {
@@ -183,6 +189,11 @@
         return metrics.registry().counter(name + "|service|service").getCount();
     }
 
+    /** Value of a gauge. */
+    long gauge(String name) {
+        return ((Number) metrics.registry().getGauges().get(name).getValue()).longValue();
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(8000);
