A stand-in waits for its listener to end before its port is used again

Cause: ReusedConnectionTest.upstreamThatRestartsUnnoticedAnswersNoWorseThanWithNewConnections failed once of three runs, beside four builds, with "Address already in use": a thread that is still in accept keeps the port until it has left the system call. Change: the stand-in waits for that thread. The check is as it was. A further test has each response come three times.

--- a/router/src/test/java/org/wigeonferry/router/ReusedConnectionTest.java
+++ b/router/src/test/java/org/wigeonferry/router/ReusedConnectionTest.java
@@ -163,6 +163,20 @@
         }
     }
 
+    /** Some copies are read with the response before, others with the request after. */
+    @Test
+    void copiesOfEachResponseAreNotDelivered() throws Exception {
+        PersistentUpstreamScript threeTimes =
+                (request, socket) ->
+                        write(socket, responseTo(request.field("Id"), KEEP_FOR_LONG).repeat(3));
+        try (PersistentUpstream upstream = new PersistentUpstream(0, threeTimes);
+                RouterHarness harness = router(upstream)) {
+            for (int i = 10; i < 40; i++) {
+                assertAnswered(harness, "/safe/x", "id-" + i);
+            }
+        }
+    }
+
     /** The end of a stream that has begun on a reused connection is an ordinary failure. */
     @Test
     void responseThatBreaksOffOnAReusedConnectionCountsAsAFailure() throws Exception {
--- a/stand_ins/src/main/java/org/wigeonferry/stand_ins/PersistentUpstream.java
+++ b/stand_ins/src/main/java/org/wigeonferry/stand_ins/PersistentUpstream.java
@@ -1,10 +1,12 @@
 package org.wigeonferry.stand_ins;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -23,7 +25,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(PersistentUpstream.class);
     private static final int BACKLOG = 50;
 
+    private static final Duration MAX_CLOSE_TIME = Duration.ofSeconds(5);
+
     private final ServerSocket listener;
+    private final Thread acceptor;
     private final PersistentUpstreamScript script;
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger mostOpen = new AtomicInteger();
@@ -40,7 +45,8 @@
         listener = new ServerSocket();
         listener.setReuseAddress(true);
         listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
-        daemon(this::accept).start();
+        acceptor = daemon(this::accept);
+        acceptor.start();
     }
 
     /** The port. */
@@ -67,12 +73,23 @@
     @Override
     public void close() throws IOException {
         listener.close();
+        awaitEnd(acceptor);
         for (Socket socket : open) {
             socket.setSoLinger(true, 0);
             socket.close();
         }
     }
 
+    /** Waits for a thread, as the port is taken until the thread has left the system call. */
+    private static void awaitEnd(Thread thread) throws IOException {
+        try {
+            thread.join(MAX_CLOSE_TIME.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while closing");
+        }
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
