check-config tells all errors of a configuration before it is put in force

Cause: routers reject a configuration at its first error, and accept parts that have no effect or not the intended one. Change: wigeonferry check-config FILE [--in-force FILE] [--json].

--- a/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/Commands.java
@@ -49,6 +49,11 @@
                         "entry|agent|router|stand-in FILE",
                         "Checks a settings file.",
                         ConfigCommands.check()),
+                new CommandEntry(
+                        "check-config",
+                        "FILE [--in-force FILE] [--json]",
+                        "Checks a routing configuration before it is put in force.",
+                        CheckConfigCommand.run()),
                 new CommandEntry(
                         "config keys",
                         "entry|agent|router|stand-in",
