Queue: reports of sends at once, spare room for resends, returns evenly spread

Where the queue is on, a send that takes 500 tokens or more is reported to the zone at once, also if its prompt is cached, and idle routers report too. The time in which sends of other routers may be unknown is therefore 250 ms instead of 500 ms; SumsStayBelowCapacityTest plays reports of up to half of that, as before.

A silent send is given up only where there is spare room and no request waits. A request that no empty queue would take is refused without evicting others. Retry-After was denser towards its longest time (RetryAfterTest failed on it); the returns are now evenly spread up to it.

--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -37,7 +37,8 @@
 
     /**
      * Weighted prompt tokens of a send that is reported at once, so that no other router sends a
-     * prompt to the same upstream in the meantime.
+     * prompt to the same upstream in the meantime; where routers divide the room at upstreams, also
+     * the tokens that a send takes there.
      */
     private static final int LARGE_SEND_TOKENS = 500;
 
@@ -107,7 +108,10 @@
         if (!parts.isEmpty() && sentPrompts.size() < MAX_PROMPTS_PER_REPORT) {
             send.model().ifPresent(model -> sentPrompts.add(SentPrompt.of(send, model, parts)));
         }
-        if (send.weightedUncachedTokens() >= LARGE_SEND_TOKENS && !reportScheduled) {
+        boolean takesRoom =
+                state.loadAdmission().isEnabled() && send.heldTokens() >= LARGE_SEND_TOKENS;
+        boolean large = send.weightedUncachedTokens() >= LARGE_SEND_TOKENS || takesRoom;
+        if (large && !reportScheduled) {
             reportScheduled = true;
             control.schedule(Duration.ZERO, this::reportIfDue);
         }
--- a/router/src/main/java/org/wigeonferry/router/RouterControl.java
+++ b/router/src/main/java/org/wigeonferry/router/RouterControl.java
@@ -152,8 +152,8 @@
         boolean newIncarnation =
                 before.filter(known -> known.incarnation().equals(upstream.incarnation()))
                         .isEmpty();
-        state.loadAdmission().onRulesChange();
         if (newIncarnation || before.get().draining() != upstream.draining()) {
+            state.loadAdmission().onRulesChange();
             LOG.atInfo()
                     .addKeyValue("upstream", upstream.id())
                     .addKeyValue("started_ms", upstream.incarnation().startMillis())
--- a/router/src/main/java/org/wigeonferry/router/WaitingCalls.java
+++ b/router/src/main/java/org/wigeonferry/router/WaitingCalls.java
@@ -24,7 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("call");
 
     /** Room that was kept for sends of other routers is free again after this time. */
-    private static final Duration DISPATCH_INTERVAL = Duration.ofMillis(500);
+    private static final Duration DISPATCH_INTERVAL = Duration.ofMillis(250);
 
     private final ControlExecutor control;
     private final LoadAdmission admission;
@@ -34,7 +34,7 @@
     private final Map<Job, WaitingCall> calls = new ConcurrentHashMap<>();
 
     private boolean dispatchScheduled;
-    private boolean waitsOn;
+    private boolean stillWaiting;
 
     /** Creates the connection; the queue must be enabled before, if it is. */
     WaitingCalls(ControlExecutor control, LoadAdmission admission, NodeMetrics metrics) {
@@ -49,7 +49,7 @@
 
     /** Lets a call wait until its job is routed to an upstream or refused. */
     void await(Job job, Waiting waiting, Runnable placeAgain) {
-        waitsOn = true;
+        stillWaiting = true;
         if (calls.containsKey(job)) {
             return;
         }
@@ -101,9 +101,9 @@
             return true;
         }
         int runsBefore = job.possibleRuns();
-        waitsOn = false;
+        stillWaiting = false;
         call.placeAgain().run();
-        if (waitsOn) {
+        if (stillWaiting) {
             return false;
         }
         end(job, job.possibleRuns() > runsBefore ? "placed" : "refused");
--- a/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
+++ b/router/src/test/java/org/wigeonferry/router/LoadExchangeTest.java
@@ -26,6 +26,7 @@
 import org.wigeonferry.routing.SendOutcome;
 import org.wigeonferry.routing.SendReport;
 import org.wigeonferry.routing.SentPrompt;
+import org.wigeonferry.routing.waiting.QueueLimits;
 import org.wigeonferry.stand_ins.VirtualControl;
 import org.wigeonferry.stand_ins.VirtualTime;
 
@@ -51,6 +52,16 @@
         assertThat(sent).isEmpty();
     }
 
+    /** Where routers divide the room at upstreams, one that is idle differs from one cut off. */
+    @Test
+    void idleRouterShowsThatItIsReachedWhereRequestsWaitForRoom() throws Exception {
+        state.loadAdmission().enable(QueueLimits.withBytes(1 << 20));
+        exchange.start();
+        time.run(Duration.ofSeconds(5));
+        assertThat(sent).hasSizeGreaterThan(5);
+        assertThat(LoadReportMessages.decode(sent.get(0)).loads()).isEmpty();
+    }
+
     /** Anyone may send a datagram; one that is no report must change nothing. */
     @Test
     void datagramThatIsNoReportIsIgnored() {
--- a/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
+++ b/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
@@ -99,6 +99,19 @@
                 .orElse(0.0);
     }
 
+    /** Whether jobs wait for the upstreams of a service. */
+    public boolean hasWaiting(String service) {
+        return waitingJobs
+                .filter(waiting -> waiting.queueOf(service).queue().size() > 0)
+                .isPresent();
+    }
+
+    /** Whether a job could be sent to an upstream now without taking the room of others. */
+    boolean hasSpareRoom(UpstreamState upstream, Job job, long nowNanos) {
+        return !isEnabled()
+                || (!hasWaiting(job.service()) && rooms.hasRoom(upstream, job, nowNanos));
+    }
+
     boolean isWaiting(Job job) {
         return waitingJobs.filter(waiting -> waiting.contains(job)).isPresent();
     }
@@ -135,9 +148,7 @@
 
     /** Lets a job wait for which {@link #choose} found no room, or refuses it. */
     PlacementResult waitOrRefuse(Job job, long nowNanos) {
-        return waitingJobs
-                .orElseThrow()
-                .waitOrRefuse(job, startEstimate.timeToFirstByte(job, nowNanos), nowNanos);
+        return waitingJobs.orElseThrow().waitOrRefuse(job, startEstimate, nowNanos);
     }
 
     void onSend(Job job, Send send, long nowNanos) {
--- a/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
@@ -45,7 +45,7 @@
     }
 
     /** Routers whose report counts. */
-    int routerCount() {
+    public int routerCount() {
         return reports.size();
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/RoomRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoomRules.java
@@ -18,10 +18,10 @@
  */
 final class RoomRules {
     /**
-     * Age that reports of other routers may have: two intervals between reports, with the time on
-     * the way.
+     * Time in which sends of other routers may not be known. Sends that take tokens are reported at
+     * once; if that report is lost, the next one follows in 200 ms.
      */
-    static final Duration MAX_REPORT_AGE = Duration.ofMillis(500);
+    static final Duration MAX_REPORT_AGE = Duration.ofMillis(250);
 
     private final String zone;
     private final PeerLoads peerLoads;
@@ -30,6 +30,9 @@
     /** Derived from the values below; cleared when one of them may have changed. */
     private final Map<Integer, UpstreamRoom> rooms = new HashMap<>();
 
+    /** Grants by upstream; cleared when the live routers or the capacities have changed. */
+    private final Map<Integer, Integer> grants = new HashMap<>();
+
     private LiveRouters routers;
     private int zoneRouterCount = 1;
     private int heardRouterCount;
@@ -41,8 +44,11 @@
     }
 
     void setLiveRouters(LiveRouters newRouters) {
-        routers = newRouters;
-        rooms.clear();
+        if (!newRouters.equals(routers)) {
+            routers = newRouters;
+            grants.clear();
+            rooms.clear();
+        }
     }
 
     /** Sets the number of live routers of this router's zone, this one included. */
@@ -53,6 +59,7 @@
 
     /** Records that the capacity of upstreams may have changed. */
     void onCapacityChange() {
+        grants.clear();
         rooms.clear();
     }
 
@@ -68,12 +75,12 @@
         recentTokens.values().removeIf(tokens -> tokens.sum(nowNanos) == 0);
     }
 
-    /** Allows upstreams that have room for a job now. */
+    /** Whether an upstream has room for a job now. */
     boolean hasRoom(UpstreamState upstream, Job job, long nowNanos) {
         return roomOf(upstream).fits(viewOf(upstream, nowNanos), job.request().maxTokens());
     }
 
-    /** Allows upstreams that would have room for a job if nothing else were there. */
+    /** Whether an upstream would have room for a job if nothing else were there. */
     boolean canHaveRoom(UpstreamState upstream, Job job, long nowNanos) {
         return roomOf(upstream).canEverFit(job.request().maxTokens());
     }
@@ -108,8 +115,15 @@
                         .orElseGet(() -> UpstreamCapacity.ofServer(instance.slots()));
         boolean otherZones = routers.assumedCount() > zoneRouters.count();
         CapacityDivision division = new CapacityDivision(capacity, otherZones);
-        int grants = routers.shareOf(division.grants(), instance.id());
-        return new UpstreamRoom(division, instance.zone().equals(zone), zoneRouters, grants);
+        boolean ownZone = instance.zone().equals(zone);
+        int ownGrants = ownZone ? 0 : ownGrants(upstream, division);
+        return new UpstreamRoom(division, ownZone, zoneRouters, ownGrants);
+    }
+
+    private int ownGrants(UpstreamState upstream, CapacityDivision division) {
+        return grants.computeIfAbsent(
+                Hashes.mixBits(upstream.key() ^ division.grants()),
+                key -> routers.shareOf(division.grants(), upstream.instance().id()));
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -213,7 +213,7 @@
                                                 : !SilenceRule.isLost(
                                                         state, send, usualWait, silence))
                         .isEmpty();
-        UpstreamRule rule = commonRule();
+        UpstreamRule rule = commonRule().and(loadAdmission::hasSpareRoom);
         return isGivenUp
                 && service.retryBudget().hasSpareRetries(nowNanos, routers.assumedCount())
                 && upstreams.upstreamStates().stream()
--- a/routing/src/main/java/org/wigeonferry/routing/WaitingJobs.java
+++ b/routing/src/main/java/org/wigeonferry/routing/WaitingJobs.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.wigeonferry.routing.prediction.StartEstimate;
 import org.wigeonferry.routing.waiting.Eviction;
 import org.wigeonferry.routing.waiting.QueueDecision;
 import org.wigeonferry.routing.waiting.QueueLimits;
@@ -71,9 +72,9 @@
     /**
      * Lets a job wait, or go on waiting, or refuses it.
      *
-     * @param timeToAnswer predicted time to the first byte, counted from the send
+     * @param startEstimate predicts the time to the first byte, counted from the send
      */
-    PlacementResult waitOrRefuse(Job job, Optional<Duration> timeToAnswer, long nowNanos) {
+    PlacementResult waitOrRefuse(Job job, StartEstimate startEstimate, long nowNanos) {
         RefusalCause eviction = evicted.remove(job);
         if (eviction != null) {
             return refuse(job, eviction, nowNanos);
@@ -87,7 +88,7 @@
             remove(job);
             return refuse(job, RefusalCause.WAIT_TOO_LONG, nowNanos);
         }
-        WaitingRequest request = newRequest(job, timeToAnswer, nowNanos);
+        WaitingRequest request = newRequest(job, startEstimate, nowNanos);
         QueueDecision decision = queueOf(job.service()).queue().offer(request, nowNanos);
         decision.evictions().forEach(this::evict);
         if (decision.refusal().isPresent()) {
@@ -139,11 +140,12 @@
                 Optional.of(retryAfter));
     }
 
-    private WaitingRequest newRequest(Job job, Optional<Duration> timeToAnswer, long nowNanos) {
+    private WaitingRequest newRequest(Job job, StartEstimate startEstimate, long nowNanos) {
         lastNumber++;
         Duration objective = job.route().latencyObjective();
         long answerNanos =
-                timeToAnswer
+                startEstimate
+                        .timeToFirstByte(job, nowNanos)
                         .map(Duration::toNanos)
                         .orElse((long) (objective.toNanos() * ASSUMED_START_SHARE));
         long latestNanos = job.deadlineNanos() - RoutingState.MIN_TIME_LEFT.toNanos() - answerNanos;
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/RetryAfter.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/RetryAfter.java
@@ -1,7 +1,6 @@
 package org.wigeonferry.routing.waiting;
 
 import java.time.Duration;
-import java.util.Optional;
 
 /**
  * Computes when a caller that was refused for load should come back.
@@ -31,13 +30,13 @@
      */
     public static Duration of(
             DrainRate drainRate, int waiting, int recentRefusals, double fraction) {
-        Optional<Duration> queueTime = drainRate.timeFor(waiting);
-        Duration spread = drainRate.timeFor(Math.max(1, recentRefusals)).orElse(UNKNOWN_SPREAD);
-        long nanos =
-                queueTime.map(Duration::toNanos).orElse(0L)
-                        + MIN.toNanos()
-                        + (long) (fraction * spread.toNanos());
-        long last = MAX.toNanos() / 2 + (long) (fraction * MAX.toNanos() / 2);
-        return Duration.ofNanos(Math.min(last, nanos));
+        long queueNanos =
+                MIN.toNanos() + drainRate.timeFor(waiting).orElse(Duration.ZERO).toNanos();
+        long firstNanos = Math.min(queueNanos, MAX.toNanos() / 2);
+        long spreadNanos =
+                drainRate.timeFor(Math.max(1, recentRefusals)).orElse(UNKNOWN_SPREAD).toNanos();
+        // Returns stay evenly spread if the rate would take longer than the longest time.
+        long lastNanos = Math.min(firstNanos + spreadNanos, MAX.toNanos());
+        return Duration.ofNanos(firstNanos + (long) (fraction * (lastNanos - firstNanos)));
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/WaitingQueue.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/WaitingQueue.java
@@ -60,6 +60,9 @@
 
     /** Adds a request if it can be sent in time and the limits allow it. */
     public QueueDecision offer(WaitingRequest request, long nowNanos) {
+        if (!limits.allow(1, request.tokens(), request.bytes())) {
+            return new QueueDecision(Optional.of(WaitRefusal.QUEUE_FULL), Duration.ZERO, List.of());
+        }
         add(request);
         ToIntFunction<WaitingRequest> priority = priorities();
         Comparator<WaitingRequest> order = order(priority);
