Room: a router that is not heard any more keeps its tokens while it lives

When a link within a zone is lost, the report of a router expires after 1 s, while its answers go on. The last report now counts on while the store shows the router live, but for no more requests than the upstream itself reports beyond the known ones. So the room of a router that has ended is free once the upstream reports that its requests are gone.

--- a/router/src/test/java/org/wigeonferry/router/PressureFleet.java
+++ b/router/src/test/java/org/wigeonferry/router/PressureFleet.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.wigeonferry.routing.Freshness;
 import org.wigeonferry.routing.LiveRouters;
 import org.wigeonferry.routing.ModelCascade;
@@ -58,6 +59,8 @@
     private final PressureTally tally = new PressureTally();
     private final boolean callersReturn;
     private final long capacityTokens;
+    private Predicate<PressureRouter> reachable = router -> true;
+    private int decodeFactor = 1;
     private int requests;
     private long reports;
 
@@ -140,6 +143,16 @@
         engines.values().forEach(engine -> engine.dropRequestsOf(router));
     }
 
+    /** Sets the routers that callers reach from now on. */
+    void setReachable(Predicate<PressureRouter> routersOfCallers) {
+        reachable = routersOfCallers;
+    }
+
+    /** Makes the answers of requests from now on this many times as long as usual. */
+    void setDecodeFactor(int factor) {
+        decodeFactor = factor;
+    }
+
     /** Loses the reports between two routers from now on. */
     void cutLink(PressureRouter one, PressureRouter other) {
         cutLinks.add(Set.of(one, other));
@@ -205,7 +218,10 @@
     }
 
     private void send(PressureCall call) {
-        List<PressureRouter> live = routers.stream().filter(PressureRouter::isAlive).toList();
+        List<PressureRouter> live =
+                routers.stream()
+                        .filter(router -> router.isAlive() && reachable.test(router))
+                        .toList();
         live.get(random.nextInt(live.size())).call(call);
     }
 
@@ -224,7 +240,8 @@
                         600 + random.nextInt(800),
                         40,
                         Optional.empty());
-        return new PressureCall(request, account, firstNanos, 200 + random.nextInt(400));
+        return new PressureCall(
+                request, account, firstNanos, decodeFactor * (200 + random.nextInt(400)));
     }
 
     private void addRouter(String name, Set<String> names, boolean queue) {
--- a/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
@@ -24,6 +24,7 @@
 
     private final Map<String, PeerReport> reports = new HashMap<>();
     private final Map<Integer, OwnLoad> sums = new HashMap<>();
+    private final SilentPeers silentPeers = new SilentPeers();
 
     /** Replaces a router's report, unless a later one is known. */
     public void apply(String router, long sequence, List<OwnLoad> loads, long nowNanos) {
@@ -33,6 +34,7 @@
             return;
         }
         remove(router);
+        silentPeers.remove(router);
         reports.put(router, new PeerReport(sequence, List.copyOf(loads), nowNanos));
         loads.forEach(load -> add(load, 1));
     }
@@ -41,7 +43,16 @@
     public void expire(long nowNanos) {
         List.copyOf(reports.entrySet()).stream()
                 .filter(entry -> nowNanos - entry.getValue().receivedNanos() > TTL.toNanos())
-                .forEach(entry -> remove(entry.getKey()));
+                .forEach(
+                        entry -> {
+                            remove(entry.getKey());
+                            silentPeers.add(entry.getKey(), entry.getValue().loads());
+                        });
+    }
+
+    /** The routers whose last report has expired. */
+    SilentPeers silentPeers() {
+        return silentPeers;
     }
 
     /** Routers whose report counts. */
--- a/routing/src/main/java/org/wigeonferry/routing/RoomRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoomRules.java
@@ -88,11 +88,13 @@
     private RoomView viewOf(UpstreamState upstream, long nowNanos) {
         int key = upstream.key();
         RecentTokens recent = recentTokens.get(key);
+        OwnLoad silent = peerLoads.silentPeers().sum(key);
         return new RoomView(
                 new HeldLoad(upstream.runningSends(), upstream.heldTokens()),
                 recent == null ? 0 : recent.sum(nowNanos),
                 new HeldLoad(peerLoads.runningSends(key), peerLoads.heldTokens(key)),
-                upstream.requestsOfOtherRouters(nowNanos));
+                new HeldLoad(silent.runningSends(), silent.heldTokens()),
+                upstream.reportedRequestsOfOthers(nowNanos));
     }
 
     private UpstreamRoom roomOf(UpstreamState upstream) {
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -130,6 +130,7 @@
     /** Replaces the live routers among which limits are divided. */
     public void setLiveRouters(LiveRouters newRouters) {
         routers = newRouters;
+        peerLoads.silentPeers().retain(newRouters.names());
         loadAdmission.setLiveRouters(newRouters);
     }
 
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -186,12 +187,18 @@
         return prefixCache.cachedTokens(model, request.parts());
     }
 
-    /** Requests of other routers that run or wait at this upstream; 0 without a recent report. */
-    int requestsOfOtherRouters(long nowNanos) {
+    /** Requests of other routers that run or wait here; empty without a recent report. */
+    OptionalInt reportedRequestsOfOthers(long nowNanos) {
         if (lastLoad.isEmpty() || nowNanos - lastLoadNanos > REPORTED_LOAD_TTL.toNanos()) {
-            return 0;
+            return OptionalInt.empty();
         }
-        return Math.max(0, lastLoad.get().running() + lastLoad.get().waiting() - runningSends);
+        int requests = lastLoad.get().running() + lastLoad.get().waiting();
+        return OptionalInt.of(Math.max(0, requests - runningSends));
+    }
+
+    /** Requests of other routers that run or wait at this upstream; 0 without a recent report. */
+    int requestsOfOtherRouters(long nowNanos) {
+        return reportedRequestsOfOthers(nowNanos).orElse(0);
     }
 
     /** Requests that the upstream ran when it last told so, or else those of this router. */
--- a/routing/src/main/java/org/wigeonferry/routing/room/UpstreamRoom.java
+++ b/routing/src/main/java/org/wigeonferry/routing/room/UpstreamRoom.java
@@ -37,7 +37,10 @@
         if (zone.isolated()) {
             return own < Math.max(1, division.zonePlaces() / zone.count());
         }
-        int others = Math.max(view.peers().requests(), view.reportedOthers() - otherZonePlaces());
+        int others =
+                Math.max(
+                        view.peers().requests(),
+                        view.reportedOthers().orElse(0) - otherZonePlaces());
         return own + others < division.zonePlaces();
     }
 
@@ -67,13 +70,28 @@
         long unreported =
                 (Math.min(zone.count(), MAX_SIMULTANEOUS_ROUTERS) - 1)
                         * (view.recentTokens() + tokens);
-        return own + view.peers().tokens() + unknownTokens(view) + unreported
+        return own + view.peers().tokens() + silentTokens(view) + unknownTokens(view) + unreported
                 <= zoneTokens.getAsLong();
     }
 
+    /**
+     * Tokens of routers that are not heard any more: all that they held, or those of as many
+     * requests as the upstream still has beyond the known ones. So the room of a router that has
+     * ended is free once the upstream reports that its requests are gone.
+     */
+    private static long silentTokens(RoomView view) {
+        HeldLoad silent = view.silentPeers();
+        if (view.reportedOthers().isEmpty() || silent.requests() == 0) {
+            return silent.tokens();
+        }
+        long left = Math.max(0, view.reportedOthers().getAsInt() - view.peers().requests());
+        return Math.min(silent.tokens(), left * silent.tokens() / silent.requests());
+    }
+
     /** Requests that the upstream has beyond those known take an even part of its memory each. */
     private long unknownTokens(RoomView view) {
-        int unknown = view.reportedOthers() - view.peers().requests() - otherZonePlaces();
+        int known = view.peers().requests() + view.silentPeers().requests();
+        int unknown = view.reportedOthers().orElse(0) - known - otherZonePlaces();
         long perPlace = division.capacity().tokens().orElse(0) / division.capacity().places();
         return Math.max(0, unknown) * perPlace;
     }
--- a/routing/src/test/java/org/wigeonferry/routing/room/SumsStayBelowCapacityTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/room/SumsStayBelowCapacityTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -78,7 +79,13 @@
                 sends.get(router).removeIf(send -> send[2] <= now && send[0] <= now - RECENT_STEPS);
                 long tokens = random.nextInt(4) == 0 ? 860 : LONG_PROMPT_TOKENS;
                 HeldLoad own = held(router, step);
-                RoomView view = new RoomView(own, recentTokens(router, step), peersOf(router), 0);
+                RoomView view =
+                        new RoomView(
+                                own,
+                                recentTokens(router, step),
+                                peersOf(router),
+                                HeldLoad.NONE,
+                                OptionalInt.empty());
                 if (room.fits(view, tokens)) {
                     sends.get(router)
                             .add(new long[] {step, tokens, step + 20 + random.nextInt(400)});
