--- a/router/src/test/java/org/wigeonferry/router/RouterHarness.java
+++ b/router/src/test/java/org/wigeonferry/router/RouterHarness.java
@@ -117,7 +117,11 @@
     static RouterHarness keepingConnections(int idleConnections, Integer... upstreamPorts)
             throws Exception {
         return new RouterHarness(
-                idleConnections, List.of(upstreamPorts), RoutingStates.empty(), unchanged -> {});
+                idleConnections,
+                List.of(upstreamPorts),
+                RoutingStates.empty(),
+                unchanged -> {},
+                IngressKeys.defaultLimits());
     }
 
     private static List<Integer> ports(List<ScriptedUpstream> upstreams) {
@@ -167,7 +171,7 @@
     /** Waits until as many requests wait for room; fails after 8 s. */
     void awaitWaiting(long count) {
         long end = System.nanoTime() + Duration.ofSeconds(8).toNanos();
-        while ((Long) gauge("waiting_requests") != count) {
+        while (gauge("waiting_requests") != count) {
             if (System.nanoTime() > end) {
                 throw new IllegalStateException("waiting: " + gauge("waiting_requests"));
             }
@@ -175,10 +179,6 @@
         }
     }
 
-    private Object gauge(String name) {
-        return metrics.registry().getGauges().get(name).getValue();
-    }
-
     /** Value of the gauge of memory that incomplete responses hold. */
     long reservedResponseBytes() {
         return (Long) metrics.registry().getGauges().get("response_bytes_reserved").getValue();
--- a/routing/src/main/java/org/wigeonferry/routing/LatestLoad.java
+++ b/routing/src/main/java/org/wigeonferry/routing/LatestLoad.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * The last load that an upstream reported, to this router or to another one of its zone.
@@ -28,12 +29,13 @@
         }
     }
 
-    /** Requests other than this router's that run or wait; 0 without a recent report. */
-    int requestsBeyond(int runningSends, long nowNanos) {
+    /** Requests other than this router's that run or wait; empty without a recent report. */
+    OptionalInt requestsBeyond(int runningSends, long nowNanos) {
         if (load.isEmpty() || nowNanos - observedNanos > TTL.toNanos()) {
-            return 0;
+            return OptionalInt.empty();
         }
-        return Math.max(0, load.get().running() + load.get().waiting() - runningSends);
+        int requests = load.get().running() + load.get().waiting();
+        return OptionalInt.of(Math.max(0, requests - runningSends));
     }
 
     /** Requests that ran at the last report, however old; empty without one. */
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.wigeonferry.routing.prediction.ServiceSpeed;
 import org.wigeonferry.routing.prediction.UpstreamSpeed;
@@ -183,9 +184,14 @@
         return prefixCache.cachedTokens(keys, parts);
     }
 
+    /** Requests of other routers that run or wait here; empty without a recent report. */
+    OptionalInt reportedRequestsOfOthers(long nowNanos) {
+        return latestLoad.requestsBeyond(runningSends, nowNanos);
+    }
+
     /** Requests of other routers that run or wait at this upstream; 0 without a recent report. */
     int requestsOfOtherRouters(long nowNanos) {
-        return latestLoad.requestsBeyond(runningSends, nowNanos);
+        return reportedRequestsOfOthers(nowNanos).orElse(0);
     }
 
     /** Requests that the upstream ran when it last told so, or else those of this router. */
