--- a/routing/src/main/java/org/wigeonferry/routing/CandidateSample.java
+++ b/routing/src/main/java/org/wigeonferry/routing/CandidateSample.java
@@ -13,8 +13,13 @@
  * #MAX_OTHER_ZONES} upstreams. Used for one decision on the control thread.
  */
 final class CandidateSample {
-    static final int MAX_OWN_ZONE = 48;
-    static final int MAX_OTHER_ZONES = 48;
+    static final int MAX_OWN_ZONE = 24;
+    static final int MAX_OTHER_ZONES = 32;
+
+    /**
+     * Upstreams of other zones that are compared where the own zone has so many that may be used.
+     */
+    static final int OTHER_ZONES_IF_OWN_SUFFICES = 4;
 
     private final Job job;
     private final UpstreamRule rule;
@@ -31,7 +36,10 @@
         collect(candidates.ownZone(), MAX_OWN_ZONE);
         usableInOwnZone = usable.size();
         suspendedInOwnZone = suspended.size();
-        collect(candidates.otherZones(), MAX_OTHER_ZONES);
+        boolean ownSuffices = usableInOwnZone >= MAX_OWN_ZONE;
+        collect(
+                candidates.otherZones(),
+                ownSuffices ? OTHER_ZONES_IF_OWN_SUFFICES : MAX_OTHER_ZONES);
     }
 
     /** Those in the own zone, then the others; suspended ones only if all are suspended. */
