Names, comments and notes of the parts for high load, for a newcomer

Renames package-private and private names that did not say what they hold: divisors that were called parts, maps of waiting jobs by their key, paces, the loop over a stream's events that was called pace like the pace of an upstream's host. Class comments name the load that a class handles. Comments of constants say what they bound.

Behaviour, log events, metrics, settings and tests are unchanged.

--- a/command_line/src/main/java/org/wigeonferry/command_line/CheckConfigCommand.java
+++ b/command_line/src/main/java/org/wigeonferry/command_line/CheckConfigCommand.java
@@ -13,7 +13,7 @@
 import org.wigeonferry.platform.FindingSeverity;
 
 /**
- * Checks a routing configuration, and tells its differences from the one in force.
+ * Checks a routing configuration, and lists its differences from the one in force.
  *
  * <p>Stateless and thread safe.
  */
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetDetectingEndPoint.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ResetDetectingEndPoint.java
@@ -75,8 +75,8 @@
     }
 
     /**
-     * Lets writes fail from now on; false if no byte is unwritten as far as known. A write that is
-     * under way decides itself, as the peer may have read all of it already.
+     * Makes writes fail from now on; true if the last write left bytes unwritten. A write that is
+     * under way fails or succeeds by itself, as the peer may have read all of it already.
      */
     boolean endResponse() {
         responseEnded = true;
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/BodyReader.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/BodyReader.java
@@ -12,8 +12,8 @@
  * Used by one thread at a time.
  */
 public final class BodyReader implements Runnable {
-    /** Size up to which a body needs no room of its own: ordinary requests are read at any load. */
-    private static final int FREE_BYTES = 16 << 10;
+    /** Bodies up to this size are not counted, so that ordinary requests are read at any load. */
+    private static final int UNCOUNTED_BYTES = 16 << 10;
 
     private final Request request;
     private final int maxBytes;
@@ -71,7 +71,7 @@
                 fail(new IllegalStateException("body longer than " + maxBytes + " bytes"));
                 return false;
             }
-            if (!makeRoom(size + count)) {
+            if (!ensureCapacity(size + count)) {
                 fail(new NoRoomException());
                 return false;
             }
@@ -83,13 +83,13 @@
         }
     }
 
-    private boolean makeRoom(int needed) {
+    private boolean ensureCapacity(int needed) {
         if (needed <= bytes.length) {
             return true;
         }
         long length = request.getLength();
-        int most = length < 0 ? maxBytes : (int) Math.min(length, maxBytes);
-        int capacity = Math.max(needed, Math.min(most, Math.max(2 * size, FREE_BYTES)));
+        int maxNeeded = length < 0 ? maxBytes : (int) Math.min(length, maxBytes);
+        int capacity = Math.max(needed, Math.min(maxNeeded, Math.max(2 * size, UNCOUNTED_BYTES)));
         return resize(capacity);
     }
 
@@ -104,7 +104,7 @@
     }
 
     private static long heldBytes(int capacity) {
-        return capacity <= FREE_BYTES ? 0 : capacity;
+        return capacity <= UNCOUNTED_BYTES ? 0 : capacity;
     }
 
     /** A body of unknown length may have been given more room than it needs. */
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/ByteBudget.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/ByteBudget.java
@@ -5,7 +5,7 @@
 /**
  * Bounds the memory of all requests that are incomplete or being served.
  *
- * <p>Answers the load of many callers that each hold a request of legal size open.
+ * <p>Handles the load of many callers that each hold a request of legal size open.
  *
  * <p>Invariant: at most {@code limitBytes} are reserved. Thread safe.
  */
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/ConnectionProgress.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/ConnectionProgress.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * How far a connection has come in what it waits for.
+ * Bytes and times of a connection in its present phase.
  *
  * <p>Immutable and thread safe.
  *
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/GuardedConnection.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/GuardedConnection.java
@@ -20,7 +20,13 @@
     private long blockedBytes;
     private long heldBytes;
     private int requests;
-    private boolean receivedSinceHead;
+
+    /**
+     * Whether bytes were received since the last request line. If not, the next request line was
+     * read together with the one before, ahead of the response to that.
+     */
+    private boolean receivedSinceRequestLine;
+
     private int pipelinedRequests;
     private boolean closed;
 
@@ -46,7 +52,7 @@
         }
         phaseBytes += bytes;
         lastByteNanos = nowNanos;
-        receivedSinceHead = true;
+        receivedSinceRequestLine = true;
     }
 
     /** Records a write: how much the kernel took, and whether it took everything. */
@@ -64,10 +70,10 @@
 
     /** Records a request line; returns how many requests came ahead of responses so far. */
     synchronized int onHeadStart(long nowNanos) {
-        if (!receivedSinceHead) {
+        if (!receivedSinceRequestLine) {
             pipelinedRequests++;
         }
-        receivedSinceHead = false;
+        receivedSinceRequestLine = false;
         if (phase != ConnectionPhase.HEAD) {
             enter(ConnectionPhase.HEAD, nowNanos);
         }
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/HeadLimits.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/HeadLimits.java
@@ -3,7 +3,7 @@
 /**
  * Limits on a head: its fields, and the requests that come ahead of responses.
  *
- * <p>Answers the loads of heads made of very many short fields and of pipelined requests. Immutable
+ * <p>Handles the loads of heads made of very many short fields and of pipelined requests. Immutable
  * and thread safe.
  *
  * @param headerFields largest number of fields of a head
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/Ingress.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/Ingress.java
@@ -21,8 +21,8 @@
 public final class Ingress {
     private static final Logger LOG = LoggerFactory.getLogger("ingress");
 
-    /** Connections that are being closed may add this part to the limit. */
-    private static final int CLOSING_PARTS = 4;
+    /** The limit of connections, divided by this, may be exceeded while others are being closed. */
+    private static final int CLOSING_EXCESS_DIVISOR = 4;
 
     private final int maxConnections;
     private final HeadLimits headLimits;
@@ -69,7 +69,7 @@
     boolean tryAdd(GuardedConnection connection) {
         int open = openConnections.incrementAndGet();
         boolean full = connections.size() >= maxConnections && !closeSlowest(progress -> true);
-        if (full || open > maxConnections + maxConnections / CLOSING_PARTS) {
+        if (full || open > maxConnections + maxConnections / CLOSING_EXCESS_DIVISOR) {
             countRefusal(IngressRefusal.CONNECTIONS);
             return false;
         }
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/IngressKeys.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/IngressKeys.java
@@ -16,7 +16,7 @@
     private static final int DEFAULT_CONNECTIONS = 1000;
     private static final int DEFAULT_HEAP_PERCENT = 25;
 
-    /** A head of 16 KiB has no more fields. */
+    /** A field takes at least 4 bytes, so a head of 16 KiB has no more fields. */
     private static final int DEFAULT_HEADER_FIELDS = 4096;
 
     private static final int DEFAULT_PIPELINED_REQUESTS = 1000;
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/IngressLimits.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/IngressLimits.java
@@ -20,17 +20,16 @@
         int sendBytesPerSecond,
         int readBytesPerSecond) {
     /**
-     * The rest is for connections to upstreams, peers and the store, for files, and for connections
-     * that are being closed.
+     * File descriptors per connection of a caller. The others are for connections to upstreams,
+     * peers and the store, for files, and for connections that are being closed.
      */
-    private static final int DESCRIPTOR_PARTS_PER_CONNECTION_LIMIT = 3;
+    private static final int DESCRIPTORS_PER_CONNECTION = 3;
 
     private static final int PERCENT = 100;
 
     /** The same limits, with no more connections than a third of the process's descriptors. */
     public IngressLimits withDescriptors(long descriptors) {
-        int allowed =
-                (int) Math.min(connections, descriptors / DESCRIPTOR_PARTS_PER_CONNECTION_LIMIT);
+        int allowed = (int) Math.min(connections, descriptors / DESCRIPTORS_PER_CONNECTION);
         return new IngressLimits(
                 allowed,
                 heldBytes,
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/LeastRates.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/LeastRates.java
@@ -5,8 +5,8 @@
 /**
  * Decides whether a connection is so slow that it may be closed in favor of others.
  *
- * <p>Answers the load of callers that stop midway, or send or read a byte now and then. Consulted
- * only while a limit is reached or half used: in calm, slow callers are served.
+ * <p>Handles the load of callers that stop midway, or send or read a byte now and then. Consulted
+ * only while a limit is reached or half used: at other times, slow callers are served.
  *
  * <p>Immutable and thread safe.
  *
@@ -14,7 +14,10 @@
  * @param readBytesPerSecond least rate of reading a response
  */
 record LeastRates(int sendBytesPerSecond, int readBytesPerSecond) {
-    /** Longer than a retransmission on the way to a caller. */
+    /**
+     * Silence, or time since a phase began, from which a connection may count as slow; longer than
+     * a retransmission on the way to a caller.
+     */
     static final Duration GRACE = Duration.ofSeconds(1);
 
     private static final double NANOS_PER_SECOND = 1e9;
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/SlowestChoice.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/SlowestChoice.java
@@ -10,7 +10,7 @@
 /**
  * Chooses the connection that is closed when a limit is reached.
  *
- * <p>Answers the load of callers that occupy all connections or all memory: the one that has been
+ * <p>Handles the load of callers that occupy all connections or all memory: the one that has been
  * silent for the longest time gives way to a caller that makes progress.
  *
  * <p>Immutable and thread safe.
--- a/router/src/main/java/org/wigeonferry/router/CallSends.java
+++ b/router/src/main/java/org/wigeonferry/router/CallSends.java
@@ -119,8 +119,8 @@
         }
         claimant = Optional.empty();
         // After the first events only the rest of the stream answers the request.
-        boolean restOfStream = response.isEmpty();
-        if (outcome == SendOutcome.ANSWERED && (restOfStream || !streaming)) {
+        boolean endsStream = response.isEmpty();
+        if (outcome == SendOutcome.ANSWERED && (endsStream || !streaming)) {
             finished = true;
             return NextStep.RESPOND;
         }
--- a/router/src/main/java/org/wigeonferry/router/LoadExchange.java
+++ b/router/src/main/java/org/wigeonferry/router/LoadExchange.java
@@ -23,8 +23,8 @@
  * sent where, which upstreams it has lost, as they may start again before others notice, and what
  * loads upstreams reported to it.
  *
- * <p>Only routers of one zone exchange reports, since requests mostly stay in their zone and bytes
- * between zones are dear. Owned by the control thread.
+ * <p>Only routers of one zone exchange reports, since requests mostly stay in their zone and
+ * traffic between zones is expensive. Owned by the control thread.
  */
 public final class LoadExchange {
     private static final Logger LOG = LoggerFactory.getLogger("peers");
--- a/router/src/main/java/org/wigeonferry/router/ResponseBudget.java
+++ b/router/src/main/java/org/wigeonferry/router/ResponseBudget.java
@@ -6,7 +6,7 @@
  * Bounds the memory of all responses that are buffered until they, or their next event, are
  * complete.
  *
- * <p>Answers the load of many upstreams that send bytes without end at the same time: each response
+ * <p>Handles the load of many upstreams that send bytes without end at the same time: each response
  * may hold a small buffer, and larger ones share a limit, so that they fail before the process runs
  * out of memory and before small responses are affected.
  *
--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -27,8 +27,8 @@
     /** Interval at which it is checked again whether a resend is allowed. */
     private static final Duration SILENCE_RECHECK_INTERVAL = Duration.ofMillis(300);
 
-    /** Interval at which the pace of a running stream is recorded. */
-    private static final Duration PACE_CHECK_INTERVAL = Duration.ofSeconds(1);
+    /** Interval at which the mean time per event of a running stream is recorded. */
+    private static final Duration STREAM_CHECK_INTERVAL = Duration.ofSeconds(1);
 
     private final CallContext context;
     private final RoutedCall call;
@@ -61,7 +61,7 @@
         closeConnection = context.sender().send(request, this);
         context.control().execute(this::watchSilence);
         if (call.job().route().kind().isStreamed()) {
-            context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
+            context.control().schedule(STREAM_CHECK_INTERVAL, this::checkStreamProgress);
         }
         if (ended.get()) {
             closeConnection.run();
@@ -208,16 +208,16 @@
     }
 
     /** Records how slow a stream is that has not ended, and that its upstream still runs. */
-    private void checkPace() {
+    private void checkStreamProgress() {
         if (ended.get()) {
             return;
         }
-        progress.pace(context.control().nanoTime())
+        progress.meanTimePerEvent(context.control().nanoTime())
                 .ifPresent(
                         gap ->
                                 context.state()
                                         .onStreamProgress(send, gap, progress.lastProgressNanos()));
-        context.control().schedule(PACE_CHECK_INTERVAL, this::checkPace);
+        context.control().schedule(STREAM_CHECK_INTERVAL, this::checkStreamProgress);
     }
 
     private boolean isStreamed(ResponseHead decodedHead) {
--- a/router/src/main/java/org/wigeonferry/router/SendProgress.java
+++ b/router/src/main/java/org/wigeonferry/router/SendProgress.java
@@ -15,7 +15,6 @@
     private volatile long lastProgressNanos;
     private volatile int events;
 
-    /** Starts without bytes, for a send that was made at a time. */
     SendProgress(long startNanos) {
         this.startNanos = startNanos;
     }
@@ -68,7 +67,7 @@
     }
 
     /** Mean time for an event of a stream that goes on; empty if there is none. */
-    Optional<Duration> pace(long nowNanos) {
+    Optional<Duration> meanTimePerEvent(long nowNanos) {
         return events == 0
                 ? Optional.empty()
                 : Optional.of(Duration.ofNanos((nowNanos - firstByteNanos) / events));
--- a/router/src/main/java/org/wigeonferry/router/WaitingCalls.java
+++ b/router/src/main/java/org/wigeonferry/router/WaitingCalls.java
@@ -23,7 +23,7 @@
 final class WaitingCalls {
     private static final Logger LOG = LoggerFactory.getLogger("call");
 
-    /** Room that was kept for sends of other routers is free again after this time. */
+    /** After this time, room that was kept for sends of other routers is free again. */
     private static final Duration DISPATCH_INTERVAL = Duration.ofMillis(250);
 
     private final ControlExecutor control;
@@ -34,9 +34,11 @@
     private final Map<Job, WaitingCall> calls = new ConcurrentHashMap<>();
 
     private boolean dispatchScheduled;
+
+    /** Whether the job that is routed at present has to go on waiting; set by {@link #await}. */
     private boolean stillWaiting;
 
-    /** Creates the connection; the queue must be enabled before, if it is. */
+    /** Listens to the queue, which must have been enabled before if it is used at all. */
     WaitingCalls(ControlExecutor control, LoadAdmission admission, NodeMetrics metrics) {
         this.control = control;
         this.admission = admission;
--- a/router/src/main/java/org/wigeonferry/router/connections/ConnectionRegistry.java
+++ b/router/src/main/java/org/wigeonferry/router/connections/ConnectionRegistry.java
@@ -11,7 +11,7 @@
 /**
  * Decides which connections to upstreams are kept, and which of them a request uses.
  *
- * <p>Answers the load in which a restart or a crash ends many connections at once: they belong to
+ * <p>Handles the load in which a restart or a crash ends many connections at once: they belong to
  * an incarnation, so none of them serves the next one. Connections that methods return are to be
  * closed, unless they say otherwise.
  *
--- a/router/src/main/java/org/wigeonferry/router/connections/KeepPolicy.java
+++ b/router/src/main/java/org/wigeonferry/router/connections/KeepPolicy.java
@@ -6,11 +6,11 @@
 /**
  * Decides whether a connection is kept after a response, and for how long it may be used then.
  *
- * <p>Answers the load in which each upstream accepts few connections: a new one takes a round trip
+ * <p>Handles the load in which each upstream accepts few connections: a new one takes a round trip
  * and a place there. Stateless and thread safe.
  */
 public final class KeepPolicy {
-    /** The rest of the announced time is for the way of a request, and for clocks that differ. */
+    /** The rest leaves time for a request to arrive, and for differences between the clocks. */
     private static final double USED_SHARE_OF_KEEP_ALIVE_TIME = 0.8;
 
     private static final Duration IDLE_TIME_IF_NOT_ANNOUNCED = Duration.ofSeconds(1);
--- a/routing/src/main/java/org/wigeonferry/routing/CandidateSample.java
+++ b/routing/src/main/java/org/wigeonferry/routing/CandidateSample.java
@@ -13,11 +13,14 @@
  * #MAX_OTHER_ZONES} upstreams. Used for one decision on the control thread.
  */
 final class CandidateSample {
+    /** Bounds the time of a decision where a service has more than a thousand upstreams. */
     static final int MAX_OWN_ZONE = 24;
+
     static final int MAX_OTHER_ZONES = 32;
 
     /**
-     * Upstreams of other zones that are compared where the own zone has so many that may be used.
+     * Upstreams of other zones that are compared if {@link #MAX_OWN_ZONE} of the own zone may be
+     * used.
      */
     static final int OTHER_ZONES_IF_OWN_SUFFICES = 4;
 
--- a/routing/src/main/java/org/wigeonferry/routing/ConnectionShares.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ConnectionShares.java
@@ -8,7 +8,7 @@
 /**
  * Divides the connections that an upstream accepts among the routers.
  *
- * <p>Answers the load in which all routers together open more connections than an upstream accepts,
+ * <p>Handles the load in which all routers together open more connections than an upstream accepts,
  * which resets those beyond. Stateless; called on the control thread.
  */
 final class ConnectionShares {
--- a/routing/src/main/java/org/wigeonferry/routing/EscalationRule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/EscalationRule.java
@@ -8,7 +8,7 @@
 /**
  * Whether an answer of low confidence may be dropped, and the job sent to its largest model.
  *
- * <p>Answers the load in which a part of a service is slow, such as the cold engines of one zone:
+ * <p>Handles the load in which a part of a service is slow, such as the cold engines of one zone:
  * the mean over the service says little about the engine at which the largest model would run.
  * Stateless and thread safe.
  */
@@ -19,18 +19,19 @@
      * Decides by the predicted time of the largest model, or by the mean over the service where
      * times are not predicted.
      *
-     * @param startOf the shortest predicted time to the first byte of a model's answer
+     * @param timeToFirstByte the shortest predicted time to the first byte of a model's answer
      */
     static boolean allows(
             Job job,
             ServiceState service,
-            Function<String, Optional<Duration>> startOf,
+            Function<String, Optional<Duration>> timeToFirstByte,
             long nowNanos) {
         List<String> models = job.route().models();
         if (models.isEmpty() || job.lowConfidenceAnswerDropped()) {
             return false;
         }
-        return startOf.apply(models.get(models.size() - 1))
+        return timeToFirstByte
+                .apply(models.get(models.size() - 1))
                 .map(start -> beginsInTime(job, start, nowNanos))
                 .orElseGet(
                         () -> service.isFastEnoughToEscalate(UpstreamSelector.rank(job), nowNanos));
--- a/routing/src/main/java/org/wigeonferry/routing/HedgeWaits.java
+++ b/routing/src/main/java/org/wigeonferry/routing/HedgeWaits.java
@@ -3,22 +3,23 @@
 import java.time.Duration;
 
 /**
- * How long sends to a model wait for their response headers, beyond the work for their own prompt,
- * as far as the time of a hedged send depends on it.
+ * How long sends to a model wait for their response headers, beyond the work for their own prompt;
+ * decides when a hedged send is due.
  *
- * <p>Unlike {@link ServiceState#waits}, on which it depends when an upstream counts as silent, the
- * estimates follow services that answer within milliseconds. Owned by the control thread.
+ * <p>Unlike those of {@link ServiceState#waits}, which decide when an upstream counts as silent,
+ * the estimates follow services that answer within milliseconds. Owned by the control thread.
  */
 final class HedgeWaits {
-    private static final Duration SHORTEST = Duration.ofMillis(10);
+    /** Lower bound of both estimates. */
+    private static final Duration MIN_WAIT = Duration.ofMillis(10);
 
     private final WaitQuantile longWait;
     private final WaitQuantile typicalWait;
 
     /** Starts with an estimate of the long wait, which the first sends correct. */
     HedgeWaits(Duration initial) {
-        longWait = new WaitQuantile(initial, SHORTEST, WaitQuantile.SHARE_OF_LONG_WAITS);
-        typicalWait = new WaitQuantile(initial, SHORTEST, 0.5);
+        longWait = new WaitQuantile(initial, MIN_WAIT, WaitQuantile.SHARE_OF_LONG_WAITS);
+        typicalWait = new WaitQuantile(initial, MIN_WAIT, 0.5);
     }
 
     /** Records the wait of a send that was answered. */
--- a/routing/src/main/java/org/wigeonferry/routing/HedgedPlacement.java
+++ b/routing/src/main/java/org/wigeonferry/routing/HedgedPlacement.java
@@ -123,7 +123,7 @@
     private Optional<SelectedUpstream> upstreamFor(
             Job job, Send first, UpstreamRule placementRules, LiveRouters routers, long nowNanos) {
         UpstreamRule unrestricted =
-                (upstream, any, now) ->
+                (upstream, anyJob, now) ->
                         !upstream.isCold(now)
                                 && !upstream.isSuspended(now)
                                 && !upstreams.notices().isRestricted(upstream, routers, now);
--- a/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
+++ b/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
@@ -8,7 +8,7 @@
 import org.wigeonferry.routing.waiting.QueueLimits;
 
 /**
- * Chooses upstreams with room for jobs, and lets the jobs wait for which there is none.
+ * Chooses upstreams with room for jobs, and queues the jobs for which there is none.
  *
  * <p>Until {@link #enable}, upstreams always have room and no job waits. Owned by the control
  * thread.
@@ -140,17 +140,18 @@
             // Suspended upstreams are probably gone, so they have room when the others have none.
             if (withRoom.isPresent()
                     && (!withRoom.get().state().isSuspended(nowNanos)
-                            || !exists(job, rule.and(LoadAdmission::isInUse), nowNanos))) {
+                            || !isAnyAllowed(
+                                    job, rule.and(LoadAdmission::isNotSuspended), nowNanos))) {
                 return UpstreamChoice.of(withRoom.get());
             }
-            if (exists(job, rule, nowNanos)) {
+            if (isAnyAllowed(job, rule, nowNanos)) {
                 return UpstreamChoice.none(true);
             }
         }
         return UpstreamChoice.none(false);
     }
 
-    /** Lets a job wait for which {@link #choose} found no room, or refuses it. */
+    /** Queues a job for which {@link #choose} found no room, or refuses it. */
     PlacementResult waitOrRefuse(Job job, long nowNanos) {
         return waitingJobs.orElseThrow().waitOrRefuse(job, startEstimate, nowNanos);
     }
@@ -179,13 +180,13 @@
         onRulesChange();
     }
 
-    private boolean exists(Job job, UpstreamRule rule, long nowNanos) {
+    private boolean isAnyAllowed(Job job, UpstreamRule rule, long nowNanos) {
         UpstreamRule eligible = rule.and(rooms::canHaveRoom);
         return directory.upstreamStates().stream()
                 .anyMatch(state -> eligible.allows(state, job, nowNanos));
     }
 
-    private static boolean isInUse(UpstreamState upstream, Job job, long nowNanos) {
+    private static boolean isNotSuspended(UpstreamState upstream, Job job, long nowNanos) {
         return !upstream.isSuspended(nowNanos);
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/ModelChoice.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ModelChoice.java
@@ -30,22 +30,22 @@
                         && EscalationRule.allows(
                                 job,
                                 service,
-                                model -> startIfPredicted(job, model, nowNanos),
+                                model -> timeToFirstByteIfPredicted(job, model, nowNanos),
                                 nowNanos);
         return modelSelector.select(job, mayEscalate);
     }
 
     /** The shortest predicted time to the first byte; empty if nothing is known. */
-    Optional<Duration> start(Job job, Optional<String> model, long nowNanos) {
+    Optional<Duration> timeToFirstByte(Job job, Optional<String> model, long nowNanos) {
         return rules.rulesFor(job, nowNanos).stream()
                 .map(rule -> upstreamSelector.shortestTime(job, model, rule, nowNanos))
                 .flatMap(Optional::stream)
                 .findFirst();
     }
 
-    private Optional<Duration> startIfPredicted(Job job, String model, long nowNanos) {
+    private Optional<Duration> timeToFirstByteIfPredicted(Job job, String model, long nowNanos) {
         return upstreamSelector.predictsTimes(job.service(), nowNanos)
-                ? start(job, Optional.of(model), nowNanos)
+                ? timeToFirstByte(job, Optional.of(model), nowNanos)
                 : Optional.empty();
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PeerLoads.java
@@ -8,7 +8,7 @@
 /**
  * What the other routers of the availability zone have under way at the upstreams.
  *
- * <p>Answers the load of many routers before the same upstreams: each knows only its own sends, and
+ * <p>Handles the load of many routers on the same upstreams: each knows only its own sends, and
  * what an upstream reports with its answers is old when there are many routers, so that without
  * these reports prompts queue at some upstreams while others are idle. Reports may be lost; each
  * holds all that its router has under way, and counts for {@link #TTL}.
--- a/routing/src/main/java/org/wigeonferry/routing/PredictedTimeSelector.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PredictedTimeSelector.java
@@ -12,9 +12,9 @@
 /**
  * Chooses the upstream at which a job's first byte is expected soonest.
  *
- * <p>Answers the load before upstreams of different and changing speed. The candidates are compared
- * in loops over lists that are prepared for each service, since the decision is made for every
- * request on hosts with a fifth of a core. Owned by the control thread.
+ * <p>Handles the load on upstreams of different and changing speed. The candidates are compared in
+ * loops over lists that are prepared for each service, since the decision is made for every request
+ * on hosts with a fifth of a core. Owned by the control thread.
  */
 final class PredictedTimeSelector {
     /** Time on the network for a request to another zone and back, with its connection. */
@@ -24,7 +24,7 @@
      * Surcharge on the time at an upstream all of whose answers are failures; multiplied by the
      * part of the failure share that is above {@link UpstreamSelector#IGNORED_FAILURE_SHARE}.
      */
-    private static final double FAILURE_NANOS = 1.8e9;
+    private static final double FAILURE_SURCHARGE_NANOS = 1.8e9;
 
     /** Part of the time for a shared prompt part by which hashing may prefer an upstream. */
     private static final double MAX_AFFINITY_SHARE = 0.5;
@@ -59,7 +59,7 @@
             double nanos =
                     predictedNanos(state, queued + tokens.uncachedAt(state), otherZone, nowNanos);
             double surcharge =
-                    FAILURE_NANOS
+                    FAILURE_SURCHARGE_NANOS
                             * Math.max(
                                     0,
                                     state.failureShare() - UpstreamSelector.IGNORED_FAILURE_SHARE);
@@ -70,9 +70,11 @@
                     MAX_AFFINITY_SHARE
                             * tokens.sharedPartAffinity(state)
                             * speed.tokenNanos(nowNanos);
-            double unseen = otherZone ? 1 + speed.relativeError() : 1;
+            // The queues of other zones are not seen, so a time there counts as longer by its
+            // error.
+            double uncertaintyFactor = otherZone ? 1 + speed.relativeError() : 1;
             lowest.add(
-                    Math.max(0, nanos * unseen + surcharge - preference),
+                    Math.max(0, nanos * uncertaintyFactor + surcharge - preference),
                     speed.relativeError(),
                     Hashes.fraction(job.request().id(), state.key()));
         }
--- a/routing/src/main/java/org/wigeonferry/routing/ReceivedLoads.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ReceivedLoads.java
@@ -9,13 +9,13 @@
 /**
  * The loads with a pace that upstreams reported to this router and that it has not forwarded yet.
  *
- * <p>Answers the load of tens of routers that each call an upstream less than once a second: what
+ * <p>Handles the load of tens of routers that each call an upstream less than once a second: what
  * one of them received is forwarded to the others while it is fresh. What was forwarded to this
  * router is not forwarded again. Invariant: one load for each upstream, at most {@link #MAX_LOADS},
  * the oldest are evicted first. Owned by the control thread.
  */
 public final class ReceivedLoads {
-    /** Bounds the part of a datagram; beyond, routers hear of the upstreams from their peers. */
+    /** Bounds the size of a datagram. */
     static final int MAX_LOADS = 64;
 
     /** Ratio of a pace to the expected one from which the other routers are told at once. */
--- a/routing/src/main/java/org/wigeonferry/routing/RoomRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoomRules.java
@@ -129,8 +129,9 @@
     }
 
     /**
-     * Until all routers are known, as many as that are assumed in the zone, and this one takes no
-     * more than its even share before it hears of all that it knows.
+     * The routers that share the room of the zone, at least the assumed number until the live
+     * routers are known. This router counts as isolated while it hears none of its peers; until the
+     * live routers are known, while it hears fewer than all that it knows.
      */
     private ZoneRouters zoneRouters() {
         int heard = heardRouterCount;
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -213,7 +213,7 @@
     /** How soon a job could get the first byte of its response, if it were sent now. */
     public StartEstimate startEstimate() {
         return (job, nowNanos) ->
-                modelChoice.start(job, selectModel(job, nowNanos).model(), nowNanos);
+                modelChoice.timeToFirstByte(job, selectModel(job, nowNanos).model(), nowNanos);
     }
 
     /**
--- a/routing/src/main/java/org/wigeonferry/routing/SilenceRule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/SilenceRule.java
@@ -5,7 +5,7 @@
 /**
  * Tells an upstream that is busy from one that is gone or has lost a request.
  *
- * <p>Answers the load in which engines have seconds of prompts in their queues: they are silent for
+ * <p>Handles the load in which engines have seconds of prompts in their queues: they are silent for
  * long and answer all the same, and a request that is sent again elsewhere adds its prompt to a
  * second queue. Stateless; called on the control thread.
  */
--- a/routing/src/main/java/org/wigeonferry/routing/Suspension.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Suspension.java
@@ -13,11 +13,11 @@
      * How long an upstream is suspended after an outcome of NOT_SENT, BROKEN or SILENT. Doubles
      * with each such outcome, at most {@link #MAX_DOUBLINGS} times, until an ANSWERED one.
      */
-    private static final Duration FIRST = Duration.ofMillis(400);
+    private static final Duration FIRST_DURATION = Duration.ofMillis(400);
 
     private static final int MAX_DOUBLINGS = 3;
 
-    private int consecutive;
+    private int consecutiveLosses;
     private long endNanos;
 
     Suspension(long nowNanos) {
@@ -29,11 +29,12 @@
     }
 
     void onAnswer() {
-        consecutive = 0;
+        consecutiveLosses = 0;
     }
 
     void onLoss(long nowNanos) {
-        endNanos = nowNanos + (FIRST.toNanos() << Math.min(consecutive, MAX_DOUBLINGS));
-        consecutive++;
+        endNanos =
+                nowNanos + (FIRST_DURATION.toNanos() << Math.min(consecutiveLosses, MAX_DOUBLINGS));
+        consecutiveLosses++;
     }
 }
--- a/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/TrafficMoveSchedule.java
@@ -5,7 +5,7 @@
 /**
  * When a roll-out whose evidence is good moves the traffic, and how fast.
  *
- * <p>Answers the load right after a completion, at which the old upstreams stop: had they served
+ * <p>Handles the load right after a completion, at which the old upstreams stop: had they served
  * until then, all requests and all streams that ran there would come at once to upstreams that have
  * no prompt cached. So the sessions move one after the other, and the old upstreams have time to
  * end their streams. A release that turns bad under the load is rolled back before all have moved.
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamNotices.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamNotices.java
@@ -9,7 +9,7 @@
  * What upstreams have said of themselves with their answers: that they leave, that they want no
  * requests for a while, or how many they take.
  *
- * <p>Answers the load after a pause, in which all routers would return to the upstream at the same
+ * <p>Handles the load after a pause, in which all routers would return to the upstream at the same
  * moment: each returns at a time of its own within a part of the pause. An incarnation that leaves
  * is never used again, whatever its row or a later answer says. A limit of requests holds until an
  * answer names none; a router without a share in it tries again now and then. Invariant: at most
--- a/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
+++ b/routing/src/main/java/org/wigeonferry/routing/UpstreamSelector.java
@@ -8,7 +8,8 @@
 
 /**
  * Chooses the upstream with the lowest estimated cost for a job; for services whose upstreams
- * report a pace, leaves the choice to {@link PredictedTimeSelector}.
+ * report a pace, and for all after {@link #predictAllTimes}, leaves the choice to {@link
+ * PredictedTimeSelector}.
  *
  * <p>The cost, in prompt tokens, is the work that the job adds and the work that is queued before
  * it, with surcharges for other zones, mixed models and failures. Owned by the control thread.
--- a/routing/src/main/java/org/wigeonferry/routing/WaitQuantile.java
+++ b/routing/src/main/java/org/wigeonferry/routing/WaitQuantile.java
@@ -5,7 +5,7 @@
 /**
  * Moving estimate of the wait that a share of the sends exceeds, by default 5 of 100.
  *
- * <p>Answers the load in which upstreams have long queues: the estimate grows with the queues, so
+ * <p>Handles the load in which upstreams have long queues: the estimate grows with the queues, so
  * that a send that waits in one is not taken for a lost one. Invariant: between a lower bound and
  * {@link #MAX}. Owned by the control thread.
  */
--- a/routing/src/main/java/org/wigeonferry/routing/WaitingJobs.java
+++ b/routing/src/main/java/org/wigeonferry/routing/WaitingJobs.java
@@ -22,12 +22,12 @@
  */
 final class WaitingJobs {
     /** Time to the first byte if nothing is known of it, as a share of the latency objective. */
-    private static final double ASSUMED_START_SHARE = 0.25;
+    private static final double ASSUMED_FIRST_BYTE_SHARE = 0.25;
 
     private final QueueLimits limits;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
-    private final Map<Job, WaitingRequest> requests = new HashMap<>();
-    private final Map<Long, Job> jobs = new HashMap<>();
+    private final Map<Job, WaitingRequest> requestsByJob = new HashMap<>();
+    private final Map<Long, Job> jobsByNumber = new HashMap<>();
 
     /** Jobs that had to leave their queue, until they are routed again. */
     private final Map<Job, RefusalCause> evicted = new HashMap<>();
@@ -50,7 +50,7 @@
     }
 
     boolean contains(Job job) {
-        return requests.containsKey(job);
+        return requestsByJob.containsKey(job);
     }
 
     /** The waiting jobs of all services, in the order in which they leave. */
@@ -58,7 +58,7 @@
         return queues.values().stream()
                 .map(service -> service.queue().inOrder())
                 .flatMap(Collection::stream)
-                .map(request -> jobs.get(request.number()))
+                .map(request -> jobsByNumber.get(request.number()))
                 .toList();
     }
 
@@ -82,9 +82,9 @@
         if (eviction != null) {
             return refuse(job, eviction, nowNanos);
         }
-        WaitingRequest known = requests.get(job);
-        if (known != null) {
-            long leftNanos = known.latestStartNanos() - nowNanos;
+        WaitingRequest waiting = requestsByJob.get(job);
+        if (waiting != null) {
+            long leftNanos = waiting.latestStartNanos() - nowNanos;
             if (leftNanos > 0) {
                 return new Waiting(Duration.ZERO, Duration.ofNanos(leftNanos));
             }
@@ -97,8 +97,8 @@
         if (decision.refusal().isPresent()) {
             return refuse(job, causeOf(decision.refusal().get()), nowNanos);
         }
-        requests.put(job, request);
-        jobs.put(request.number(), job);
+        requestsByJob.put(job, request);
+        jobsByNumber.put(request.number(), job);
         return new Waiting(
                 decision.expectedWait(), Duration.ofNanos(request.latestStartNanos() - nowNanos));
     }
@@ -106,9 +106,9 @@
     /** Removes a job that need not wait any longer. */
     void remove(Job job) {
         evicted.remove(job);
-        WaitingRequest request = requests.remove(job);
+        WaitingRequest request = requestsByJob.remove(job);
         if (request != null) {
-            jobs.remove(request.number());
+            jobsByNumber.remove(request.number());
             queueOf(job.service()).queue().remove(request.number());
         }
     }
@@ -119,7 +119,7 @@
             service.queue()
                     .dispatch(
                             request -> {
-                                Job job = jobs.get(request.number());
+                                Job job = jobsByNumber.get(request.number());
                                 boolean left = tryToSend.test(job);
                                 if (left) {
                                     remove(job);
@@ -130,8 +130,8 @@
     }
 
     private void evict(Eviction eviction) {
-        Job job = jobs.remove(eviction.request().number());
-        requests.remove(job);
+        Job job = jobsByNumber.remove(eviction.request().number());
+        requestsByJob.remove(job);
         evicted.put(job, causeOf(eviction.cause()));
         evictionListener.accept(job);
     }
@@ -150,11 +150,13 @@
                 startEstimate
                         .timeToFirstByte(job, nowNanos)
                         .map(Duration::toNanos)
-                        .orElse((long) (objective.toNanos() * ASSUMED_START_SHARE));
-        long latestNanos = job.deadlineNanos() - RoutingState.MIN_TIME_LEFT.toNanos() - answerNanos;
+                        .orElse((long) (objective.toNanos() * ASSUMED_FIRST_BYTE_SHARE));
+        long latestStartNanos =
+                job.deadlineNanos() - RoutingState.MIN_TIME_LEFT.toNanos() - answerNanos;
         if (!job.wasSentBefore()) {
             // A later answer is worth less to the caller than an early refusal.
-            latestNanos = Math.min(latestNanos, nowNanos + objective.toNanos() - answerNanos);
+            latestStartNanos =
+                    Math.min(latestStartNanos, nowNanos + objective.toNanos() - answerNanos);
         }
         return new WaitingRequest(
                 lastNumber,
@@ -163,7 +165,7 @@
                 job.request().maxTokens(),
                 job.bodyBytes(),
                 nowNanos,
-                latestNanos);
+                latestStartNanos);
     }
 
     private static RefusalCause causeOf(WaitRefusal refusal) {
--- a/routing/src/main/java/org/wigeonferry/routing/hedging/HedgingRule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/hedging/HedgingRule.java
@@ -6,7 +6,7 @@
 /**
  * Decides when a second send of an idempotent request is worth its cost.
  *
- * <p>Answers the load in which a few upstreams among many are slow for a moment: a request that has
+ * <p>Handles the load in which a few upstreams among many are slow for a moment: a request that has
  * waited longer than 95 of 100 others is sent to a second upstream, as long as that one can still
  * meet the latency objective. When all upstreams are slow the usual wait grows, so that the second
  * send could not meet the objective and hedging stops. Immutable and thread safe.
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/LowestTime.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/LowestTime.java
@@ -5,7 +5,7 @@
 /**
  * Finds the candidate with the lowest predicted time; among nearly equal ones a hash decides.
  *
- * <p>Answers the load of tens of routers that see the same upstreams: all would choose the one that
+ * <p>Handles the load of tens of routers that see the same upstreams: all would choose the one that
  * is faster by less than the error of the prediction. Invariant: the predicted time of the chosen
  * candidate is at most {@link #MAX_SPREAD} of the lowest one above it. Used for one decision on the
  * control thread.
@@ -17,7 +17,7 @@
     static final double MAX_SPREAD = 0.25;
 
     private final double[] nanos;
-    private final double[] samples;
+    private final double[] hashFractions;
     private int count;
     private int lowest;
     private double relativeErrorOfLowest;
@@ -25,7 +25,7 @@
     /** Starts without candidates. */
     public LowestTime(int maxCandidates) {
         nanos = new double[maxCandidates];
-        samples = new double[maxCandidates];
+        hashFractions = new double[maxCandidates];
     }
 
     /**
@@ -33,11 +33,11 @@
      *
      * @param predictedNanos its predicted time, with surcharges; not negative
      * @param relativeError error of the predicted time
-     * @param sample hash of request and candidate, from 0 to 1
+     * @param hashFraction hash of request and candidate, from 0 to 1
      */
-    public void add(double predictedNanos, double relativeError, double sample) {
+    public void add(double predictedNanos, double relativeError, double hashFraction) {
         nanos[count] = predictedNanos;
-        samples[count] = sample;
+        hashFractions[count] = hashFraction;
         if (count == 0 || predictedNanos < nanos[lowest]) {
             lowest = count;
             relativeErrorOfLowest = relativeError;
@@ -54,7 +54,7 @@
         double limit = nanos[lowest] * (1 + spread);
         int best = lowest;
         for (int i = 0; i < count; i++) {
-            if (nanos[i] <= limit && samples[i] < samples[best]) {
+            if (nanos[i] <= limit && hashFractions[i] < hashFractions[best]) {
                 best = i;
             }
         }
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/PaceEstimate.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/PaceEstimate.java
@@ -6,7 +6,7 @@
  * Expected duration of work on an upstream's host relative to its mean duration, from the paces
  * that the upstream reports.
  *
- * <p>Answers the load in which other programs slow a host down for about 600 ms at a time. The
+ * <p>Handles the load in which other programs slow a host down for about 600 ms at a time. The
  * weight of a report decays with its age. Paces are taken relative to the mean of those that the
  * upstream reports, since the learned speed already contains the mean: an upstream whose reports
  * are always too high or too low gains and loses nothing. Invariant: from {@link #MIN} to {@link
@@ -25,13 +25,14 @@
     /** Reports beyond this age are ignored. */
     static final Duration MAX_AGE = Duration.ofSeconds(3);
 
+    /** Weight of a report in the mean, after the first ones. */
     private static final double MIN_MEAN_WEIGHT = 0.02;
 
     /** Number of reports of the usual pace that the mean starts with. */
     private static final int INITIAL_REPORTS = 8;
 
-    private double mean = 1;
-    private double last = 1;
+    private double meanPace = 1;
+    private double lastPace = 1;
     private long lastNanos;
     private int reports;
 
@@ -42,8 +43,10 @@
         if (pacePercent <= 0 || outdated || age < 0 || age > MAX_AGE.toNanos()) {
             return false;
         }
-        last = limit(pacePercent / 100.0);
-        mean += Math.max(MIN_MEAN_WEIGHT, 1.0 / (reports + INITIAL_REPORTS)) * (last - mean);
+        lastPace = limit(pacePercent / 100.0);
+        meanPace +=
+                Math.max(MIN_MEAN_WEIGHT, 1.0 / (reports + INITIAL_REPORTS))
+                        * (lastPace - meanPace);
         lastNanos = observedNanos;
         reports++;
         return true;
@@ -51,7 +54,7 @@
 
     /** A reported pace as a multiple of the mean one. */
     double relative(int pacePercent) {
-        return limit(limit(pacePercent / 100.0) / mean);
+        return limit(limit(pacePercent / 100.0) / meanPace);
     }
 
     /** The expected duration of work now, as a multiple of the mean one. */
@@ -61,7 +64,7 @@
             return 1;
         }
         double weight = Math.exp(-(double) age / DECAY_TIME.toNanos());
-        return limit(1 + (last / mean - 1) * weight);
+        return limit(1 + (lastPace / meanPace - 1) * weight);
     }
 
     private static double limit(double factor) {
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/QueueProgress.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/QueueProgress.java
@@ -8,15 +8,16 @@
  * size, since large ones are processed for longer. Owned by the control thread.
  */
 final class QueueProgress {
-    private static final double WEIGHT = 0.02;
+    /** Weight of a new prompt in the means. */
+    private static final double NEW_PROMPT_WEIGHT = 0.02;
 
     private double meanTokens;
     private double meanSquare;
 
     /** Records the tokens of a prompt that is sent. */
     void onSend(double tokens) {
-        meanTokens += WEIGHT * (tokens - meanTokens);
-        meanSquare += WEIGHT * (tokens * tokens - meanSquare);
+        meanTokens += NEW_PROMPT_WEIGHT * (tokens - meanTokens);
+        meanSquare += NEW_PROMPT_WEIGHT * (tokens * tokens - meanSquare);
     }
 
     /** Tokens that are still to be processed of those of all unfinished prompts. */
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/RelativeTime.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/RelativeTime.java
@@ -65,8 +65,8 @@
         error += ERROR_WEIGHT * (Math.abs(logRatio) - error);
         double gain = Math.max(MIN_GAIN, 1.0 / (responses + 2));
         double maxLogarithm = Math.log(MAX);
-        double moved = RETENTION * logarithm + gain * logRatio;
-        logarithm = Math.max(-maxLogarithm, Math.min(maxLogarithm, moved));
+        double newLogarithm = RETENTION * logarithm + gain * logRatio;
+        logarithm = Math.max(-maxLogarithm, Math.min(maxLogarithm, newLogarithm));
         factor = Math.exp(logarithm);
         responses++;
         nextHalvingNanos = nowNanos + MAX_TIME_WITHOUT_RESPONSE.toNanos();
--- a/routing/src/main/java/org/wigeonferry/routing/prediction/UpstreamSpeed.java
+++ b/routing/src/main/java/org/wigeonferry/routing/prediction/UpstreamSpeed.java
@@ -6,8 +6,8 @@
 /**
  * Predicts the time to the first byte at one upstream, from its learned speed and its pace.
  *
- * <p>Answers the load before engines of different speed: a queue of the same length takes nearly
- * three times as long on one of relative time 1.6 as on one of 0.6. Owned by the control thread.
+ * <p>Handles the load on engines of different speed: a queue of the same length takes nearly three
+ * times as long on one of relative time 1.6 as on one of 0.6. Owned by the control thread.
  */
 public final class UpstreamSpeed {
     private final ServiceSpeed service;
--- a/routing/src/main/java/org/wigeonferry/routing/room/UpstreamCapacity.java
+++ b/routing/src/main/java/org/wigeonferry/routing/room/UpstreamCapacity.java
@@ -12,7 +12,7 @@
  *     an upstream that responds "not run" to what it has no place for
  */
 public record UpstreamCapacity(int places, OptionalLong tokens) {
-    /** Requests that queue at an upstream, as a share of its slots, so that no slot is idle. */
+    /** One request may queue at an upstream for each of so many slots, so that no slot is idle. */
     private static final int SLOTS_PER_QUEUED_REQUEST = 8;
 
     /** Covers the requests that a server with few slots finishes between two reports. */
--- a/routing/src/main/java/org/wigeonferry/routing/room/UpstreamRoom.java
+++ b/routing/src/main/java/org/wigeonferry/routing/room/UpstreamRoom.java
@@ -5,7 +5,7 @@
 /**
  * Decides whether a request fits at an upstream.
  *
- * <p>Answers bursts in which the routers together place more on an engine than its memory holds,
+ * <p>Handles bursts in which the routers together place more on an engine than its memory holds,
  * which ends the engine and all its requests. Reports of other routers are some hundred
  * milliseconds old, so a router assumes that each of them has placed as much in that time as it has
  * itself. Invariant: if the routers see each other's reports in time, the sum of their tokens stays
@@ -16,12 +16,15 @@
  */
 public record UpstreamRoom(
         CapacityDivision division, boolean ownZone, ZoneRouters zone, int ownGrants) {
-    /** More routers than these do not choose the same upstream before they hear of each other. */
+    /**
+     * At most this many routers are assumed to choose the same upstream before they hear of each
+     * other.
+     */
     private static final int MAX_SIMULTANEOUS_ROUTERS = 8;
 
     /** Whether a request with these tokens fits beside what is known to be there. */
     public boolean fits(RoomView view, long tokens) {
-        return hasPlace(view) && hasTokens(view, tokens);
+        return hasPlace(view) && fitsInMemory(view, tokens);
     }
 
     /** Whether a request with these tokens would fit at the upstream if it were empty. */
@@ -54,7 +57,7 @@
         return division.otherZones() ? division.grants() * division.placesPerGrant() : 0;
     }
 
-    private boolean hasTokens(RoomView view, long tokens) {
+    private boolean fitsInMemory(RoomView view, long tokens) {
         long own = view.own().tokens() + tokens;
         if (!ownZone) {
             OptionalLong perGrant = division.tokensPerGrant();
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/AccountUse.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/AccountUse.java
@@ -9,7 +9,7 @@
  * Engine time that the accounts have used lately at a service, as sent by this router. All accounts
  * have equal shares.
  *
- * <p>Answers an account that sends many times its usual traffic: its requests are ordered behind
+ * <p>Handles an account that sends many times its usual traffic: its requests are ordered behind
  * those of accounts that have used less. Invariant: uses decay by half in {@link #HALF_LIFE}. Owned
  * by the control thread.
  */
@@ -23,6 +23,7 @@
      */
     private static final double SHARE_TOLERANCE = 1.25;
 
+    /** Largest excess that counts, so that no account falls behind requests of the next rank. */
     private static final int MAX_EXCESS = 7;
 
     /** A use this small orders nothing any more. */
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/DrainRate.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/DrainRate.java
@@ -15,7 +15,10 @@
     private static final double NEW_DURATION_WEIGHT = 0.05;
     private static final double NEW_START_WEIGHT = 0.02;
 
-    /** Bounds the predicted wait of requests that hardly ever leave before more urgent ones. */
+    /**
+     * Share of the sends that is assumed to remain for the least urgent requests, however many more
+     * urgent ones come; bounds their predicted wait.
+     */
     private static final double MIN_REMAINING_SHARE = 0.05;
 
     /** Part of the sends that requests of a priority make up. */
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/RetryAfter.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/RetryAfter.java
@@ -5,7 +5,7 @@
 /**
  * Computes when a caller that was refused for load should come back.
  *
- * <p>Answers callers that are refused together and would all return together: they return after the
+ * <p>Handles callers that are refused together and would all return together: they return after the
  * queue has drained, evenly spread over the time in which as many sends end as callers were
  * refused. Stateless and thread safe.
  */
--- a/routing/src/main/java/org/wigeonferry/routing/waiting/WaitingQueue.java
+++ b/routing/src/main/java/org/wigeonferry/routing/waiting/WaitingQueue.java
@@ -16,7 +16,7 @@
 /**
  * The requests that wait for room at the upstreams of one service.
  *
- * <p>Answers bursts of several times the capacity: a request that can't be sent in time is refused
+ * <p>Handles bursts of several times the capacity: a request that can't be sent in time is refused
  * when it comes, and one that is overtaken until it can't be sent in time is refused then, instead
  * of at its deadline. Requests leave by rank, then by how far their account is beyond its share,
  * then by their latest start. A request that finds no room lets others pass, but only a few times,
