Requests wait for a connection to an upstream where there is a queue

A burst that used up the shares at all upstreams was refused with NO_UPSTREAM, new requests and waiting ones alike, although places were free. The limit of the connections now counts as room: a request waits until a send ends.

ConnectionLimitTest fails without the change (Refused NO_UPSTREAM instead of Waiting).

--- a/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
+++ b/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.wigeonferry.routing.prediction.StartEstimate;
 import org.wigeonferry.routing.waiting.QueueLimits;
 
@@ -17,16 +18,27 @@
     private final UpstreamDirectory directory;
     private final UpstreamSelector selector;
     private final RoomRules rooms;
+    private final Supplier<UpstreamRule> connections;
     private StartEstimate startEstimate = (job, nowNanos) -> Optional.empty();
     private Optional<WaitingJobs> waitingJobs = Optional.empty();
     private Runnable roomListener = () -> {};
     private Runnable rulesListener = () -> {};
     private Consumer<Job> evictionListener = job -> {};
 
-    LoadAdmission(UpstreamDirectory directory, UpstreamSelector selector, RoomRules rooms) {
+    /**
+     * Creates the admission.
+     *
+     * @param connections the rule that allows upstreams to which a connection is free
+     */
+    LoadAdmission(
+            UpstreamDirectory directory,
+            UpstreamSelector selector,
+            RoomRules rooms,
+            Supplier<UpstreamRule> connections) {
         this.directory = directory;
         this.selector = selector;
         this.rooms = rooms;
+        this.connections = connections;
     }
 
     /**
@@ -112,8 +124,9 @@
 
     /** Whether a job could be sent to an upstream now without taking the room of others. */
     boolean hasSpareRoom(UpstreamState upstream, Job job, long nowNanos) {
-        return !isEnabled()
-                || (!hasWaiting(job.service()) && rooms.hasRoom(upstream, job, nowNanos));
+        return connections.get().allows(upstream, job, nowNanos)
+                && (!isEnabled()
+                        || (!hasWaiting(job.service()) && rooms.hasRoom(upstream, job, nowNanos)));
     }
 
     boolean isWaiting(Job job) {
@@ -123,20 +136,22 @@
     /** Chooses by the first of the rules that an upstream meets, with room or without. */
     UpstreamChoice choose(
             Job job, Optional<String> model, List<UpstreamRule> rules, long nowNanos) {
+        UpstreamRule connectionRule = connections.get();
         if (waitingJobs.isEmpty()) {
             return rules.stream()
-                    .map(rule -> selector.select(job, model, rule, nowNanos))
+                    .map(rule -> selector.select(job, model, rule.and(connectionRule), nowNanos))
                     .flatMap(Optional::stream)
                     .findFirst()
                     .map(UpstreamChoice::of)
                     .orElse(UpstreamChoice.none(false));
         }
+        UpstreamRule roomRule = connectionRule.and(rooms::hasRoom);
         boolean behindOthers = waitingJobs.get().isBehindOthers(job);
         for (UpstreamRule rule : rules) {
             Optional<SelectedUpstream> withRoom =
                     behindOthers
                             ? Optional.empty()
-                            : selector.select(job, model, rule.and(rooms::hasRoom), nowNanos);
+                            : selector.select(job, model, rule.and(roomRule), nowNanos);
             // Suspended upstreams are probably gone, so they have room when the others have none.
             if (withRoom.isPresent()
                     && (!withRoom.get().state().isSuspended(nowNanos)
--- a/routing/src/main/java/org/wigeonferry/routing/PlacementRules.java
+++ b/routing/src/main/java/org/wigeonferry/routing/PlacementRules.java
@@ -40,17 +40,19 @@
         limitsConnections = true;
     }
 
-    /** A rule that allows what all rules allow. */
-    UpstreamRule all(Optional<RoutingConfig> config, LiveRouters routers) {
-        UpstreamRule rule = allButConnections(config, routers);
+    /**
+     * Allows the upstreams at which this router's share of the connections is not used up. The lack
+     * of a connection is a lack of room, for which a request may wait.
+     */
+    UpstreamRule connections(Optional<RoutingConfig> config, LiveRouters routers) {
         return limitsConnections
-                ? rule.and(
-                        UpstreamRules.withinConnections(
-                                target -> ConnectionShares.shareOf(target, config, routers)))
-                : rule;
+                ? UpstreamRules.withinConnections(
+                        target -> ConnectionShares.shareOf(target, config, routers))
+                : (upstream, job, nowNanos) -> true;
     }
 
-    private UpstreamRule allButConnections(Optional<RoutingConfig> config, LiveRouters routers) {
+    /** A rule that allows what all rules allow, but for {@link #connections}. */
+    UpstreamRule all(Optional<RoutingConfig> config, LiveRouters routers) {
         return UpstreamRules.SERVES_JOB
                 .and(UpstreamRules.NOT_DRAINING)
                 .and(notices.rule(routers))
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -9,6 +9,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.wigeonferry.routing.hedging.HedgingRule;
 import org.wigeonferry.routing.prediction.StartEstimate;
 
@@ -64,8 +65,9 @@
         placementRules = new PlacementRules(limits, upstreams.notices());
         UpstreamSelector selector = new UpstreamSelector(zone, upstreams, peerLoads);
         modelChoice = new ModelChoice(modelSelector, selector, this::rulesFor);
-        loadAdmission =
-                new LoadAdmission(upstreams, selector, new RoomRules(zone, peerLoads, routers));
+        RoomRules rooms = new RoomRules(zone, peerLoads, routers);
+        Supplier<UpstreamRule> connections = () -> placementRules.connections(config, this.routers);
+        loadAdmission = new LoadAdmission(upstreams, selector, rooms, connections);
         loadAdmission.setStartEstimate(startEstimate());
         hedgedPlacement =
                 new HedgedPlacement(
@@ -181,8 +183,7 @@
             return new Refused(
                     job.possibleRuns() > 0 ? RefusalCause.TIMED_OUT : RefusalCause.TOO_LATE);
         }
-        List<PromptPart> parts = job.request().parts();
-        if (poisonRegister.isRefused(requestDigest, parts, routers, nowNanos)) {
+        if (poisonRegister.isRefused(requestDigest, job.request().parts(), routers, nowNanos)) {
             return Refused.of(job, RefusalCause.POISON);
         }
         if (!job.mayRunAgain()) {
--- a/routing/src/test/java/org/wigeonferry/routing/ConnectionLimitTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/ConnectionLimitTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.wigeonferry.routing.waiting.QueueLimits;
 
 /**
  * Guards against routers that together open more connections than an upstream accepts: in a burst
@@ -51,6 +52,17 @@
         assertThat(placedOfABurst()).isEqualTo(1);
     }
 
+    /** With a queue, a burst beyond the connections was refused, although places were free. */
+    @Test
+    void requestWaitsForAConnectionIfThereIsAQueue() {
+        state.limitConnections();
+        state.loadAdmission().enable(QueueLimits.withBytes(1 << 20));
+        state.setLiveRouters(new LiveRouters("own", Set.of("own", "b", "c", "d"), 1));
+        assertThat(placedOfABurst()).isEqualTo(2);
+        Job job = Fixtures.admit(state, Fixtures.request("look"), NOW);
+        assertThat(Fixtures.place(state, job, NOW)).isInstanceOf(Waiting.class);
+    }
+
     @Test
     void upstreamThatDrainsHasNoShare() {
         state.upstreams().put(Fixtures.upstream("a", "desk"), NOW);
