Learn no speed from errors, and drop no answer while requests wait

Cause, found by the review of the merged parts: every response head taught the speed of its upstream, so that a full or failing upstream looked fast and drew requests; and an answer of low confidence was dropped while requests waited, so that its request went to the end of the queue though an answer existed. Change: the head of an error counts without a prediction; no escalation while requests of the service wait. Tests: FalseLoadReportsTest.refusalsDoNotMakeAnUpstreamLookFast, RoomOfUpstreamsTest.answersOfLowConfidenceAreDeliveredWhileRequestsWait; all of routing passes.

--- a/router/src/main/java/org/wigeonferry/router/RoutedSend.java
+++ b/router/src/main/java/org/wigeonferry/router/RoutedSend.java
@@ -91,11 +91,13 @@
         }
         body.declareLength(fields.getLongField(HttpHeader.CONTENT_LENGTH));
         long nowNanos = context.control().nanoTime();
+        // An error, such as a refusal by a full upstream, comes sooner than the work would.
+        Send answered = decodedHead.isSuccess() ? send : send.withoutPrediction();
         context.control()
                 .execute(
                         () ->
                                 context.state()
-                                        .onResponseHeaders(send, decodedHead.load(), nowNanos));
+                                        .onResponseHeaders(answered, decodedHead.load(), nowNanos));
         if (decodedHead.isFromAddressedUpstream(requestId)) {
             call.onAnnouncement(send, decodedHead.announcement());
         }
--- a/routing/src/main/java/org/wigeonferry/routing/ModelChoice.java
+++ b/routing/src/main/java/org/wigeonferry/routing/ModelChoice.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Selects the model of a job, and predicts how soon an upstream would answer with it.
@@ -12,11 +13,22 @@
     private final ModelSelector modelSelector;
     private final UpstreamSelector upstreamSelector;
     private final JobRules rules;
+    private final Predicate<String> requestsWait;
 
-    ModelChoice(ModelSelector modelSelector, UpstreamSelector upstreamSelector, JobRules rules) {
+    /**
+     * Creates the choice.
+     *
+     * @param requestsWait whether requests of a service wait for an upstream with capacity
+     */
+    ModelChoice(
+            ModelSelector modelSelector,
+            UpstreamSelector upstreamSelector,
+            JobRules rules,
+            Predicate<String> requestsWait) {
         this.modelSelector = modelSelector;
         this.upstreamSelector = upstreamSelector;
         this.rules = rules;
+        this.requestsWait = requestsWait;
     }
 
     /**
@@ -26,7 +38,8 @@
      */
     ModelSelection select(Job job, ServiceState service, int routerCount, long nowNanos) {
         boolean mayEscalate =
-                service.hasSpareRetries(nowNanos, routerCount)
+                !requestsWait.test(job.service())
+                        && service.hasSpareRetries(nowNanos, routerCount)
                         && EscalationRule.allows(
                                 job,
                                 service,
--- a/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
+++ b/routing/src/main/java/org/wigeonferry/routing/RoutingState.java
@@ -64,10 +64,11 @@
         rollOuts = new RollOutTracker(limits);
         placementRules = new PlacementRules(limits, upstreams.notices());
         UpstreamSelector selector = new UpstreamSelector(zone, upstreams, peerLoads);
-        modelChoice = new ModelChoice(modelSelector, selector, this::rulesFor);
         RoomRules rooms = new RoomRules(zone, peerLoads, routers);
         Supplier<UpstreamRule> connections = () -> placementRules.connections(config, this.routers);
         loadAdmission = new LoadAdmission(upstreams, selector, rooms, connections);
+        modelChoice =
+                new ModelChoice(modelSelector, selector, this::rulesFor, loadAdmission::hasWaiting);
         loadAdmission.setStartEstimate(startEstimate());
         hedgedPlacement =
                 new HedgedPlacement(
@@ -234,7 +235,7 @@
                         job,
                         first,
                         service,
-                        commonRule().and(loadAdmission::hasSpareRoom),
+                        placementRules.all(config, routers).and(loadAdmission::hasSpareRoom),
                         isAllowed,
                         routers,
                         nowNanos);
@@ -250,7 +251,7 @@
     public boolean mayResend(
             Job job, Send send, boolean answerBegun, Duration silence, long nowNanos) {
         ServiceState service = stateOf(job.service());
-        UpstreamRule rule = commonRule().and(loadAdmission::hasSpareRoom);
+        UpstreamRule rule = placementRules.all(config, routers).and(loadAdmission::hasSpareRoom);
         return service.hasSpareRetries(nowNanos, routers.assumedCount())
                 && resendRule.allows(job, send, service, answerBegun, silence, rule, nowNanos);
     }
@@ -275,16 +276,12 @@
     }
 
     private List<UpstreamRule> rulesFor(Job job, long nowNanos) {
-        UpstreamRule rule = commonRule();
+        UpstreamRule rule = placementRules.all(config, routers);
         return rollOuts.upstreamRules(job, routers.assumedCount(), nowNanos).stream()
                 .map(rule::and)
                 .toList();
     }
 
-    private UpstreamRule commonRule() {
-        return placementRules.all(config, routers);
-    }
-
     private void recordSend(Send send, Job job, long nowNanos) {
         if (!job.wasSentBefore()) {
             stateOf(job.service()).retryBudget().onFirstSend(nowNanos);
--- a/routing/src/main/java/org/wigeonferry/routing/Send.java
+++ b/routing/src/main/java/org/wigeonferry/routing/Send.java
@@ -34,4 +34,19 @@
         int heldTokens,
         long startNanos,
         Optional<Prediction> prediction)
-        implements PlacementResult {}
+        implements PlacementResult {
+    /** The same send, whose response time then teaches nothing about the upstream's speed. */
+    public Send withoutPrediction() {
+        return new Send(
+                upstream,
+                account,
+                model,
+                minConfidence,
+                rank,
+                timeLeft,
+                weightedUncachedTokens,
+                heldTokens,
+                startNanos,
+                Optional.empty());
+    }
+}
--- a/routing/src/test/java/org/wigeonferry/routing/FalseLoadReportsTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/FalseLoadReportsTest.java
@@ -61,6 +61,25 @@
         return sends / (REQUESTS / 2.0);
     }
 
+    /** A full upstream refuses at once, which must not attract the requests of all routers. */
+    @Test
+    void refusalsDoNotMakeAnUpstreamLookFast() {
+        shareOfFirst(() -> 100);
+        Job job = Fixtures.admit(state, CALLS.request("idle"), nowNanos);
+        Duration before = state.startEstimate().timeToFirstByte(job, nowNanos).orElseThrow();
+        for (int i = 0; i < 200; i++) {
+            Job refused = Fixtures.admit(state, CALLS.request("refused" + i), nowNanos);
+            Send send = (Send) Fixtures.place(state, refused, nowNanos);
+            state.onResponseHeaders(send.withoutPrediction(), Optional.empty(), nowNanos + 100_000);
+            state.onSendEnd(
+                    refused,
+                    "content",
+                    Fixtures.reportWithHeaders(send, SendOutcome.NOT_RUN),
+                    nowNanos + 100_000);
+        }
+        assertThat(state.startEstimate().timeToFirstByte(job, nowNanos)).contains(before);
+    }
+
     @Test
     void claimToBeFastAllTheTimeIsLearned() {
         assertThat(shareOfFirst(() -> 25)).isLessThan(MAX_SHARE);
--- a/routing/src/test/java/org/wigeonferry/routing/RoomOfUpstreamsTest.java
+++ b/routing/src/test/java/org/wigeonferry/routing/RoomOfUpstreamsTest.java
@@ -106,6 +106,22 @@
         assertThat(((Refused) place(job)).cause()).isEqualTo(RefusalCause.NO_UPSTREAM);
     }
 
+    /** Dropping an answer while requests wait would send its request to the end of the queue. */
+    @Test
+    void answersOfLowConfidenceAreDeliveredWhileRequestsWait() {
+        state.upstreams().put(Fixtures.upstream("m", "model"), NOW_NANOS);
+        Job job = Fixtures.admit(state, Fixtures.request("chat"), NOW_NANOS);
+        assertThat(((Send) place(job)).minConfidence()).isPositive();
+        enable();
+        OwnLoad full = new OwnLoad(Hashes.key("m"), 0, PLACES, 0);
+        state.peerLoads().apply("peer", 1, List.of(full), NOW_NANOS);
+        Job waiting =
+                Fixtures.admit(state, Fixtures.request("chat", "w", Optional.empty()), NOW_NANOS);
+        assertThat(place(waiting)).isInstanceOf(Waiting.class);
+        state.peerLoads().expire(NOW_NANOS + 2 * Fixtures.NANOS_PER_SECOND);
+        assertThat(((Send) place(waiting)).minConfidence()).isZero();
+    }
+
     /** A router of another zone has a part of an engine, and none of most engines. */
     @Test
     void routersOfOtherZonesKeepToTheirGrants() {
