--- a/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
+++ b/routing/src/main/java/org/wigeonferry/routing/LoadAdmission.java
@@ -46,10 +46,15 @@
      * predicted time from now on, as admission depends on it.
      */
     public void enable(QueueLimits limits) {
-        selector.predictAllTimes();
+        predictAllTimes();
         waitingJobs = Optional.of(new WaitingJobs(limits, job -> evictionListener.accept(job)));
     }
 
+    /** Chooses upstreams by predicted time from now on, also those that report no pace. */
+    public void predictAllTimes() {
+        selector.predictAllTimes();
+    }
+
     public boolean isEnabled() {
         return waitingJobs.isPresent();
     }
