--- a/routing/src/main/java/org/wigeonferry/routing/EscalationRule.java
+++ b/routing/src/main/java/org/wigeonferry/routing/EscalationRule.java
@@ -16,8 +16,8 @@
     private EscalationRule() {}
 
     /**
-     * Decides by the predicted time of the largest model, or by the mean over the service where
-     * times are not predicted.
+     * Allows it while the service is fast on average, so that long prompts get the largest model
+     * too, and where the largest model's answer is predicted to begin in time.
      *
      * @param timeToFirstByte the shortest predicted time to the first byte of a model's answer
      */
@@ -30,11 +30,11 @@
         if (models.isEmpty() || job.lowConfidenceAnswerDropped()) {
             return false;
         }
-        return timeToFirstByte
-                .apply(models.get(models.size() - 1))
-                .map(start -> beginsInTime(job, start, nowNanos))
-                .orElseGet(
-                        () -> service.isFastEnoughToEscalate(UpstreamSelector.rank(job), nowNanos));
+        return service.isFastEnoughToEscalate(UpstreamSelector.rank(job), nowNanos)
+                || timeToFirstByte
+                        .apply(models.get(models.size() - 1))
+                        .filter(start -> beginsInTime(job, start, nowNanos))
+                        .isPresent();
     }
 
     /** The smaller model is asked before, which takes no longer than the largest one. */
