--- a/measurements/src/main/java/org/wigeonferry/measurements/PlacementCostMain.java
+++ b/measurements/src/main/java/org/wigeonferry/measurements/PlacementCostMain.java
@@ -57,6 +57,7 @@
                             0,
                             0.1,
                             2,
+                            0,
                             Duration.ofSeconds(5),
                             Duration.ofSeconds(2)),
                     new Freshness(Duration.ofHours(1), Duration.ofHours(1)),
