--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/ConnectionPhase.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/ConnectionPhase.java
@@ -1,6 +1,10 @@
 package org.wigeonferry.node_runtime.ingress;
 
-/** What a connection waits for. */
+/**
+ * What a connection waits for.
+ *
+ * <p>Immutable and thread safe.
+ */
 enum ConnectionPhase {
     /** The first byte of a request. */
     IDLE,
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/IngressRefusal.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/IngressRefusal.java
@@ -1,6 +1,10 @@
 package org.wigeonferry.node_runtime.ingress;
 
-/** Which limit a refused connection or request would exceed. */
+/**
+ * Which limit a refused connection or request would exceed.
+ *
+ * <p>Immutable and thread safe.
+ */
 enum IngressRefusal {
     /** Open connections. */
     CONNECTIONS,
--- a/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/NoRoomException.java
+++ b/node_runtime/src/main/java/org/wigeonferry/node_runtime/ingress/NoRoomException.java
@@ -1,6 +1,10 @@
 package org.wigeonferry.node_runtime.ingress;
 
-/** The process has no room for a body; the request has not run. */
+/**
+ * The process has no room for a body; the request has not run.
+ *
+ * <p>Immutable and thread safe.
+ */
 public final class NoRoomException extends Exception {
     private static final long serialVersionUID = 1L;
 
--- a/router/src/main/java/org/wigeonferry/router/SendProgress.java
+++ b/router/src/main/java/org/wigeonferry/router/SendProgress.java
@@ -28,7 +28,10 @@
         firstByteNanos = nowNanos;
     }
 
-    /** Records enough bytes to count: single ones are no progress, as an upstream may drip. */
+    /**
+     * Records enough bytes to count: single bytes do not count, as a stalled upstream may send one
+     * now and then.
+     */
     void onProgress(long nowNanos) {
         lastProgressNanos = nowNanos;
     }
