--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A poison request whose prompt has 2,500 parts comes again and again, and crashes servers each time.
+# A poison request whose prompt has 1,000 parts comes again; the router hangs while it decides on it.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review-2 ] || exit 2
-exec java -cp 'target/review-2:target/lib/*' PoisonOfManyParts review/8/record.txt 2500 32 BUDGET
+exec java -cp 'target/review-2:target/lib/*' PoisonOfManyParts review/7/record.txt 1000 32 CONFIG
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A connection of one router to the store goes silent; a server that leaves then is still used.
+# A poison request whose prompt has 2,500 parts comes again and again, and crashes servers each time.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review-2 ] || exit 2
-exec java -cp 'target/review-2:target/lib/*' SilentStoreConnection review/9/record.txt
+exec java -cp 'target/review-2:target/lib/*' PoisonOfManyParts review/8/record.txt 2500 32 BUDGET
