--- a/review/stand_ins-2/FrozenWhileConnecting.java
+++ b/review/stand_ins-2/FrozenWhileConnecting.java
@@ -16,10 +16,14 @@
  * full for a moment. Looks for unsafe requests that run twice, or are refused though they ran.
  */
 final class FrozenWhileConnecting {
-    private static final int CALLERS = 90;
+    private static final int CALLERS = 60;
+
+    /** Small deployments side by side, each with a store, three servers and a router. */
+    private static final int DEPLOYMENTS = 8;
+
     private static final int FREEZE_MILLIS = 1300;
-    private static final int LENGTH_MILLIS = 95_000;
-    private static final int TIMEOUT_MILLIS = 3000;
+    private static final int LENGTH_MILLIS = 92_000;
+    private static final int TIMEOUT_MILLIS = 2000;
 
     private static final Map<String, AtomicInteger> RUNS = new ConcurrentHashMap<>();
     private static final Map<Integer, Integer> STATUSES = new ConcurrentHashMap<>();
@@ -29,41 +33,58 @@
 
     public static void main(String[] args) throws Exception {
         Record record = new Record(Path.of(args[0]));
-        Store store = new Store();
-        List<SlowToAccept> servers = new ArrayList<>();
-        for (int i = 0; i < 3; i++) {
-            servers.add(new SlowToAccept(store, record, "i-desk" + i, "z" + i));
-        }
-        store.put(
-                "op",
-                "config",
-                Lab.config(
-                        1,
-                        Lab.route("/desk/", "unsafe", TIMEOUT_MILLIS, "desk", 1, ""),
-                        Lab.service("desk"),
-                        ""));
-        RouterProcess router =
-                new RouterProcess(Lab.temporaryFolder(), "front-0", "z0", store.newPort(), Lab.BOUNDS);
-        router.start();
-        router.awaitReady();
-        for (int i = 0; i < 100; i++) {
-            send(router, record);
-        }
-        int rounds = 0;
-        long end = Lab.millis() + LENGTH_MILLIS;
-        while (Lab.millis() < end && BROKEN.isEmpty()) {
-            rounds++;
-            playRound(router, record, servers);
+        Path folder = Lab.temporaryFolder();
+        AtomicInteger rounds = new AtomicInteger();
+        List<Thread> deployments = new ArrayList<>();
+        for (int i = 0; i < DEPLOYMENTS; i++) {
+            String name = "d" + i;
+            deployments.add(Lab.daemon(name, () -> playDeployment(folder, name, record, rounds)));
+        }
+        for (Thread deployment : deployments) {
+            deployment.join();
         }
         int runs = RUNS.values().stream().mapToInt(AtomicInteger::get).sum();
         String what =
-                rounds + " freezes, answers " + STATUSES + ", runs " + runs + "; broken: " + BROKEN.values();
+                rounds.get() + " freezes, answers " + STATUSES + ", runs " + runs + "; broken: " + BROKEN.values();
         if (STATUSES.getOrDefault(200, 0) < 100) {
             Lab.cannotRun(what);
         }
         Lab.end(record, !BROKEN.isEmpty(), what);
     }
 
+    private static void playDeployment(
+            Path folder, String name, Record record, AtomicInteger rounds) {
+        try {
+            Store store = new Store();
+            List<SlowToAccept> servers = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                servers.add(new SlowToAccept(store, record, "i-desk-" + name + i, "z" + i));
+            }
+            store.put(
+                    "op",
+                    "config",
+                    Lab.config(
+                            1,
+                            Lab.route("/desk/", "unsafe", TIMEOUT_MILLIS, "desk", 1, ""),
+                            Lab.service("desk"),
+                            ""));
+            RouterProcess router =
+                    new RouterProcess(folder, "front-" + name, "z0", store.newPort(), Lab.BOUNDS);
+            router.start();
+            router.awaitReady();
+            for (int i = 0; i < 100; i++) {
+                send(router, record);
+            }
+            long end = Lab.millis() + LENGTH_MILLIS;
+            while (Lab.millis() < end && BROKEN.isEmpty()) {
+                rounds.incrementAndGet();
+                playRound(router, record, servers);
+            }
+        } catch (IOException | InterruptedException e) {
+            Lab.cannotRun(name + ": " + e);
+        }
+    }
+
     private static void playRound(RouterProcess router, Record record, List<SlowToAccept> servers)
             throws InterruptedException {
         if (Lab.trouble()) {
@@ -76,11 +97,11 @@
         Lab.sleep(80);
         if (Lab.trouble()) {
             router.signal("STOP");
-            record.line("router frozen");
+            record.line(router.name + " frozen");
             servers.forEach(SlowToAccept::acceptAgain);
             Lab.sleep(FREEZE_MILLIS);
             router.signal("CONT");
-            record.line("router goes on");
+            record.line(router.name + " goes on");
         }
         for (Thread caller : callers) {
             caller.join(6000);
@@ -89,15 +110,7 @@
 
     private static void send(RouterProcess router, Record record) {
         String id = Caller.newId();
-        int status = 0;
-        try (Caller caller = new Caller(router.callerPort, 5000)) {
-            caller.write(
-                    Wire.ascii(
-                            Caller.head("POST", "/desk/book", id, TIMEOUT_MILLIS, 5, "") + "hello"));
-            status = caller.read().status();
-        } catch (IOException e) {
-            record.line("client: " + id + ": " + e.getMessage());
-        }
+        int status = request(router, id);
         record.line("client: " + id + " got " + status);
         STATUSES.merge(status, 1, Integer::sum);
         if (status == 503) {
@@ -108,6 +121,17 @@
         }
     }
 
+    /** Sends an unsafe request on a new connection; its status, 0 if there is no answer. */
+    private static int request(RouterProcess router, String id) {
+        try (Caller caller = new Caller(router.callerPort, 5000)) {
+            caller.write(
+                    Wire.ascii(Caller.head("POST", "/desk/book", id, TIMEOUT_MILLIS, 5, "") + "hello"));
+            return caller.read().status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** A server whose queue of new connections can be full. */
     private static final class SlowToAccept {
         private static final int QUEUE = 8;
